--- /dev/null
+++ b/src/crocusward/desired/__init__.py
@@ -0,0 +1,35 @@
+"""What an entry host keeps of the platform: desired state, backend servers, hosts."""
+
+from ._copy import TableCopy
+from ._directory import Directory
+from ._types import (
+    AllowedRegions,
+    BackendEntry,
+    Bounds,
+    CallerLimits,
+    DesiredState,
+    HostFacts,
+    HostLimits,
+    RouteRule,
+    RowChange,
+    ServiceRule,
+    TablePage,
+    WeightedService,
+)
+
+__all__ = [
+    "AllowedRegions",
+    "BackendEntry",
+    "Bounds",
+    "CallerLimits",
+    "DesiredState",
+    "Directory",
+    "HostFacts",
+    "HostLimits",
+    "RouteRule",
+    "RowChange",
+    "ServiceRule",
+    "TableCopy",
+    "TablePage",
+    "WeightedService",
+]
--- /dev/null
+++ b/src/crocusward/desired/_directory.py
@@ -0,0 +1,112 @@
+"""The desired state, the data centres out of service and the backend servers."""
+
+from collections.abc import Callable, Iterable
+
+from ..logs import Level, log_event
+from ._types import BackendEntry, DesiredState
+
+
+class Directory:
+    """What this host currently believes of the deployment.
+
+    A version of the desired state never gives way to an older one. Parts that follow
+    the backend servers subscribe with ``on_backend``.
+
+    Args:
+        regions: Region by data centre.
+
+    Attributes:
+        state: The newest desired state, or None before the first.
+        out: Data centres that operators took out of service.
+        backends: Backend servers by id.
+        listed: Whether a complete list of backend servers was read.
+    """
+
+    __slots__ = (
+        "state",
+        "out",
+        "backends",
+        "listed",
+        "_regions",
+        "_observers",
+        "_out_observers",
+    )
+
+    def __init__(self, regions: dict[str, str]) -> None:
+        self.state: DesiredState | None = None
+        self.out: set[str] = set()
+        self.backends: dict[str, BackendEntry] = {}
+        self.listed = False
+        self._regions = regions
+        self._observers: list[
+            Callable[[BackendEntry | None, BackendEntry | None], None]
+        ] = []
+        self._out_observers: list[Callable[[str, bool], None]] = []
+
+    def on_backend(
+        self, observer: Callable[[BackendEntry | None, BackendEntry | None], None]
+    ) -> None:
+        """Call ``observer`` with the old and the new entry at each change."""
+        self._observers.append(observer)
+
+    def on_out(self, observer: Callable[[str, bool], None]) -> None:
+        """Call ``observer`` when a data centre is taken out of service or back."""
+        self._out_observers.append(observer)
+
+    def is_usable(self) -> bool:
+        """Return True once requests can be served."""
+        return self.state is not None and self.listed
+
+    def region_of(self, data_centre: str) -> str:
+        """Return the region of a data centre, "" if it is unknown."""
+        return self._regions.get(data_centre, "")
+
+    def set_state(self, state: DesiredState) -> bool:
+        """Take over a desired state unless the known one is newer."""
+        known = self.state
+        if known is not None and state.version <= known.version:
+            if state.version < known.version:
+                log_event(
+                    "desired_state_ignored",
+                    Level.WARNING,
+                    version=state.version,
+                    in_force=known.version,
+                    reason="older than the version in force",
+                )
+            return False
+        self.state = state
+        log_event(
+            "desired_state_taken",
+            version=state.version,
+            previous=known.version if known else 0,
+            services=len(state.services),
+        )
+        return True
+
+    def set_out(self, data_centre: str, is_out: bool) -> bool:
+        """Take a data centre out of service or back; return whether it changed."""
+        if (data_centre in self.out) == is_out:
+            return False
+        (self.out.add if is_out else self.out.discard)(data_centre)
+        log_event("data_centre_out" if is_out else "data_centre_back", name=data_centre)
+        for observer in self._out_observers:
+            observer(data_centre, is_out)
+        return True
+
+    def set_backend(self, id: str, entry: BackendEntry | None) -> None:
+        """Replace the entry of a backend server; None removes it."""
+        old = self.backends.get(id)
+        if entry is None:
+            if old is None:
+                return
+            del self.backends[id]
+        else:
+            self.backends[id] = entry
+        for observer in self._observers:
+            observer(old, entry)
+
+    def drop_missing(self, present: Iterable[str]) -> None:
+        """Remove all backend servers that are not in ``present``."""
+        keep = set(present)
+        for id in [id for id in self.backends if id not in keep]:
+            self.set_backend(id, None)
--- /dev/null
+++ b/src/crocusward/desired/_types.py
@@ -0,0 +1,388 @@
+"""Types into which the platform's documents are decoded. Durations are in seconds."""
+
+from collections.abc import Mapping, Sequence
+
+from ..model import Record
+
+AllowedRegions = frozenset[str]  # empty allows every region
+
+
+class HostLimits(Record):
+    """Resources of this host.
+
+    Attributes:
+        processor_share: Share of one core that the daemon gets.
+        memory_mb: Memory above which the daemon is killed, in MB.
+        descriptors: Descriptors that the daemon may open, files included.
+    """
+
+    __slots__ = ("processor_share", "memory_mb", "descriptors")
+
+    def __init__(
+        self, processor_share: float, memory_mb: int, descriptors: int
+    ) -> None:
+        self.processor_share = processor_share
+        self.memory_mb = memory_mb
+        self.descriptors = descriptors
+
+
+class Bounds(Record):
+    """Bounds that operators set for the whole fleet.
+
+    Attributes:
+        drain_s: Time in which a leaving backend server stops getting requests.
+        stop_grace_s: From SIGTERM to SIGKILL.
+        config_apply_s: Time in which a new desired state is in force.
+        address_reuse_s: Earliest reuse of the address of an ended backend server.
+        retry_ratio: Retries for each request, fleet-wide.
+        retry_window_s: Span over which retries are counted.
+        retry_reserve: Retries allowed in each window besides ``retry_ratio``.
+        cold_rate_factor: Multiple of the cold rate that a cold server bears.
+        cold_burst: Requests in one second that a cold server bears besides.
+    """
+
+    __slots__ = (
+        "drain_s",
+        "stop_grace_s",
+        "config_apply_s",
+        "address_reuse_s",
+        "retry_ratio",
+        "retry_window_s",
+        "retry_reserve",
+        "cold_rate_factor",
+        "cold_burst",
+    )
+
+    def __init__(
+        self,
+        *,
+        drain_s: float,
+        stop_grace_s: float,
+        config_apply_s: float,
+        address_reuse_s: float,
+        retry_ratio: float,
+        retry_window_s: float,
+        retry_reserve: float,
+        cold_rate_factor: float,
+        cold_burst: float,
+    ) -> None:
+        self.drain_s = drain_s
+        self.stop_grace_s = stop_grace_s
+        self.config_apply_s = config_apply_s
+        self.address_reuse_s = address_reuse_s
+        self.retry_ratio = retry_ratio
+        self.retry_window_s = retry_window_s
+        self.retry_reserve = retry_reserve
+        self.cold_rate_factor = cold_rate_factor
+        self.cold_burst = cold_burst
+
+
+class HostFacts(Record):
+    """What the settings of the platform tell a daemon about its host.
+
+    Attributes:
+        name: Name of the host.
+        address: IP address of the host.
+        data_centre: Data centre of the host.
+        region: Region of the host.
+        regions: Region by data centre.
+        callers: Address and port for callers.
+        ready: Address and port of the readiness check.
+        control: Address and port for other daemons, or None.
+        peer_ports: First and last port free for traffic between daemons.
+        seeds: Control addresses of some hosts; may be out of date.
+        store: Address and port of the platform's store.
+        heartbeat_s: Period at which backend servers renew their entries.
+        limits: Resources of the host.
+        bounds: Bounds of the fleet.
+    """
+
+    __slots__ = (
+        "name",
+        "address",
+        "data_centre",
+        "region",
+        "regions",
+        "callers",
+        "ready",
+        "control",
+        "peer_ports",
+        "seeds",
+        "store",
+        "heartbeat_s",
+        "limits",
+        "bounds",
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        address: str,
+        data_centre: str,
+        region: str,
+        regions: Mapping[str, str],
+        callers: tuple[str, int],
+        ready: tuple[str, int],
+        control: tuple[str, int] | None,
+        peer_ports: tuple[int, int],
+        seeds: Sequence[tuple[str, int]],
+        store: tuple[str, int],
+        heartbeat_s: float,
+        limits: HostLimits,
+        bounds: Bounds,
+    ) -> None:
+        self.name = name
+        self.address = address
+        self.data_centre = data_centre
+        self.region = region
+        self.regions = dict(regions)
+        self.callers = callers
+        self.ready = ready
+        self.control = control
+        self.peer_ports = peer_ports
+        self.seeds = list(seeds)
+        self.store = store
+        self.heartbeat_s = heartbeat_s
+        self.limits = limits
+        self.bounds = bounds
+
+
+class WeightedService(Record):
+    """A part of a split route.
+
+    Attributes:
+        service: Name of the service.
+        weight: Share of the requests, relative to the other parts.
+    """
+
+    __slots__ = ("service", "weight")
+
+    def __init__(self, service: str, weight: float) -> None:
+        self.service = service
+        self.weight = weight
+
+
+class RouteRule(Record):
+    """Where requests of one host name and path prefix go.
+
+    Attributes:
+        name: Name of the route.
+        host: Host name in lower case.
+        prefix: Path prefix; begins and ends with a slash.
+        idempotent: Whether a request may run more than once.
+        timeout_s: Longest time that a request may be kept waiting.
+        objective_s: Response time within which an answer has its full worth.
+        priority: Rank; 0 is the most urgent.
+        max_attempts: Most backend servers on which one request may run.
+        parts: Services with their weights; at least one.
+        regions: Regions in which requests may be served.
+    """
+
+    __slots__ = (
+        "name",
+        "host",
+        "prefix",
+        "idempotent",
+        "timeout_s",
+        "objective_s",
+        "priority",
+        "max_attempts",
+        "parts",
+        "regions",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        prefix: str,
+        *,
+        idempotent: bool,
+        timeout_s: float,
+        objective_s: float,
+        priority: int,
+        max_attempts: int,
+        parts: Sequence[WeightedService],
+        regions: AllowedRegions = frozenset(),
+    ) -> None:
+        self.name = name
+        self.host = host
+        self.prefix = prefix
+        self.idempotent = idempotent
+        self.timeout_s = timeout_s
+        self.objective_s = objective_s
+        self.priority = priority
+        self.max_attempts = max_attempts
+        self.parts = tuple(parts)
+        self.regions = regions
+
+
+class ServiceRule(Record):
+    """What operators say of a service.
+
+    Attributes:
+        name: Name of the service.
+        health_path: Path of the health probe.
+        max_connections: Connections that a backend server accepts from all hosts.
+        cold_s: How long a backend server is cold after its start.
+        cold_rate: Requests a second that a cold backend server bears.
+    """
+
+    __slots__ = ("name", "health_path", "max_connections", "cold_s", "cold_rate")
+
+    def __init__(
+        self,
+        name: str,
+        health_path: str,
+        max_connections: int,
+        cold_s: float,
+        cold_rate: float,
+    ) -> None:
+        self.name = name
+        self.health_path = health_path
+        self.max_connections = max_connections
+        self.cold_s = cold_s
+        self.cold_rate = cold_rate
+
+
+class CallerLimits(Record):
+    """Bounds of what a caller may send.
+
+    Attributes:
+        head_bytes: Largest head of a request.
+        body_bytes: Largest body of a request.
+        head_timeout_s: Longest time to send a head.
+        idle_timeout_s: Time after which an unused connection may be closed.
+    """
+
+    __slots__ = ("head_bytes", "body_bytes", "head_timeout_s", "idle_timeout_s")
+
+    def __init__(
+        self,
+        head_bytes: int,
+        body_bytes: int,
+        head_timeout_s: float,
+        idle_timeout_s: float,
+    ) -> None:
+        self.head_bytes = head_bytes
+        self.body_bytes = body_bytes
+        self.head_timeout_s = head_timeout_s
+        self.idle_timeout_s = idle_timeout_s
+
+
+class DesiredState(Record):
+    """One version of what operators want.
+
+    Attributes:
+        version: Number of the version; versions only grow.
+        routes: Routes by host name, longest prefix first.
+        services: Services by name.
+        limits: Bounds of what a caller may send.
+    """
+
+    __slots__ = ("version", "routes", "services", "limits")
+
+    def __init__(
+        self,
+        version: int,
+        routes: Sequence[RouteRule],
+        services: Mapping[str, ServiceRule],
+        limits: CallerLimits,
+    ) -> None:
+        self.version = version
+        self.routes: dict[str, list[RouteRule]] = {}
+        for route in sorted(routes, key=lambda item: -len(item.prefix)):
+            self.routes.setdefault(route.host, []).append(route)
+        self.services = dict(services)
+        self.limits = limits
+
+    def find_route(self, host: str, path: str) -> RouteRule | None:
+        """Return the route with the longest prefix that begins ``path``."""
+        for route in self.routes.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+class BackendEntry(Record):
+    """A backend server as it registered itself.
+
+    Attributes:
+        id: Id of this run of the server; sent as the expected instance.
+        service: Name of the service.
+        address: IP address and port.
+        data_centre: Data centre.
+        slots: Requests that it runs at a time.
+        leaving: Whether it has announced its end.
+        cold_left_s: How long it said to remain cold when it wrote the entry.
+        born_ms: Unix time of its start in milliseconds, or 0 if unknown.
+    """
+
+    __slots__ = (
+        "id",
+        "service",
+        "address",
+        "data_centre",
+        "slots",
+        "leaving",
+        "cold_left_s",
+        "born_ms",
+    )
+
+    def __init__(
+        self,
+        id: str,
+        service: str,
+        address: tuple[str, int],
+        data_centre: str,
+        *,
+        slots: int,
+        leaving: bool = False,
+        cold_left_s: float = 0.0,
+        born_ms: int = 0,
+    ) -> None:
+        self.id = id
+        self.service = service
+        self.address = address
+        self.data_centre = data_centre
+        self.slots = slots
+        self.leaving = leaving
+        self.cold_left_s = cold_left_s
+        self.born_ms = born_ms
+
+
+class RowChange(Record):
+    """A row as it was written last, or its removal.
+
+    Attributes:
+        key: Key of the row.
+        value: Content, or None if the row was removed.
+        version: Version of the table at which this happened.
+    """
+
+    __slots__ = ("key", "value", "version")
+
+    def __init__(self, key: str, value: bytes | None, version: int) -> None:
+        self.key = key
+        self.value = value
+        self.version = version
+
+
+class TablePage(Record):
+    """Rows of a table as of one version.
+
+    Attributes:
+        version: The version; the next read of changes resumes after it.
+        changes: The rows in order.
+        complete: Whether these are all rows, so that any other row is gone.
+    """
+
+    __slots__ = ("version", "changes", "complete")
+
+    def __init__(
+        self, version: int, changes: Sequence[RowChange], *, complete: bool
+    ) -> None:
+        self.version = version
+        self.changes = list(changes)
+        self.complete = complete
--- /dev/null
+++ b/src/crocusward/entryd/_exposition.py
@@ -0,0 +1,56 @@
+"""Metrics of the daemon in the Prometheus text format."""
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ._process import EntryProcess
+
+PREFIX = "crocusward_entry_"
+QUANTILES = (0.5, 0.9, 0.99)
+
+
+def expose(process: "EntryProcess") -> bytes:
+    """Return all metrics."""
+    lines: list[str] = []
+    _requests(lines, process)
+    _latencies(lines, process)
+    now_s = process.timer.now()
+    state = process.directory.state
+    gauges = {
+        "desired_state_version": state.version if state else 0,
+        "backends": len(process.directory.backends),
+        "data_centres_out": len(process.directory.out),
+        "neighbours_live": len(process.peers.live(now_s)),
+        "hosts_known": process.hub.fleet_size,
+        "requests_pending": process.callers.pending,
+        "connections": len(process.callers.connections),
+        "store_calls": process.store.calls,
+        "log_lines_dropped": process.dropped_log_lines,
+    }
+    for name, value in gauges.items():
+        lines.append(f"# TYPE {PREFIX}{name} gauge")
+        lines.append(f"{PREFIX}{name} {value}")
+    lines.append(f"# TYPE {PREFIX}table_age_seconds gauge")
+    for table, follower in process.followers.items():
+        age_s = min(1e9, now_s - follower.answered_s)
+        lines.append(f'{PREFIX}table_age_seconds{{table="{table}"}} {age_s:.3f}')
+    return ("\n".join(lines) + "\n").encode("utf-8")
+
+
+def _requests(lines: list[str], process: "EntryProcess") -> None:
+    lines.append(f"# TYPE {PREFIX}requests_total counter")
+    for (route, outcome), count in process.relay.outcomes.items():
+        labels = f'route="{route}",outcome="{outcome}"'
+        lines.append(f"{PREFIX}requests_total{{{labels}}} {count}")
+
+
+def _latencies(lines: list[str], process: "EntryProcess") -> None:
+    lines.append(f"# TYPE {PREFIX}latency_seconds summary")
+    for route, recorder in process.relay.latencies.items():
+        for share, value_s in zip(
+            QUANTILES, recorder.quantiles_s(QUANTILES), strict=True
+        ):
+            labels = f'route="{route}",quantile="{share:g}"'
+            lines.append(f"{PREFIX}latency_seconds{{{labels}}} {value_s:g}")
+        labels = f'route="{route}"'
+        lines.append(f"{PREFIX}latency_seconds_count{{{labels}}} {recorder.total}")
--- /dev/null
+++ b/src/crocusward/entryd/_hub.py
@@ -0,0 +1,255 @@
+"""Talks to the daemons of the data centre."""
+
+import asyncio
+from collections.abc import Callable
+
+from ..desired import HostFacts
+from ..logs import EventSampler, log_event
+from ..neighbours import (
+    Hello,
+    HostReport,
+    Introduction,
+    KnownHost,
+    NeighbourEndpoint,
+    NeighbourTable,
+    Sighting,
+)
+from ..placing import BackendLoad, LoadBook
+from ..platform import ListedDaemon
+from ..timing import Subscription, TimerService
+
+REPORT_PERIOD_S = 0.25  # three missed ones are silence
+REPORTS_PER_S = 120.0  # that one host sends; a large data centre reports less often
+MAX_REPORT_PERIOD_S = 0.45
+HELLO_PERIOD_S = 1.0
+HELLO_ROUNDS = 5
+
+
+class NeighbourHub:
+    """Sends reports, takes reports, and keeps the list of known hosts.
+
+    Args:
+        facts: What the settings say.
+        incarnation: Start of this daemon, Unix time in milliseconds.
+        timer: Source of time.
+        book: Loads of the backend servers.
+        peers: The neighbours.
+        sampler: Logs malformed datagrams.
+        versions: Returns the version of each table.
+        store_age_s: Returns the time since the last answer of the store.
+        on_room: Called with services that may have room.
+        on_report: Called after each report.
+    """
+
+    __slots__ = (
+        "leaving",
+        "waiting",
+        "_facts",
+        "_incarnation",
+        "_timer",
+        "_book",
+        "_peers",
+        "_endpoint",
+        "_versions",
+        "_store_age_s",
+        "_on_room",
+        "_on_report",
+        "_hosts",
+        "_seq",
+        "_dirty",
+        "_sightings",
+        "_flush_due",
+        "_subs",
+        "_silent",
+        "_hello_left",
+    )
+
+    def __init__(
+        self,
+        facts: HostFacts,
+        incarnation: int,
+        timer: TimerService,
+        book: LoadBook,
+        peers: NeighbourTable,
+        sampler: EventSampler,
+        versions: Callable[[], dict[str, int]],
+        store_age_s: Callable[[], float],
+        on_room: Callable[[str], None],
+        on_report: Callable[[], None],
+    ) -> None:
+        self.leaving = False
+        self._facts = facts
+        self._incarnation = incarnation
+        self._timer = timer
+        self._book = book
+        self._peers = peers
+        self._endpoint = NeighbourEndpoint(self._on_message, sampler)
+        self._versions = versions
+        self._store_age_s = store_age_s
+        self._on_room = on_room
+        self._on_report = on_report
+        self._hosts: dict[str, KnownHost] = {
+            facts.name: KnownHost(facts.name, facts.address, facts.data_centre)
+        }
+        self._seq = 0
+        self._dirty: set[str] = set()
+        self._sightings: list[Sighting] = []
+        self._flush_due = False
+        self._subs: list[Subscription] = []
+        self._silent: set[str] = set()
+        self._hello_left = HELLO_ROUNDS
+
+    async def start(self) -> None:
+        """Open the socket and announce this host.
+
+        Raises:
+            OSError: The port is in use.
+        """
+        await self._endpoint.start(self._facts.address, self._facts.peer_ports[0])
+        self._greet_seeds()
+        self._subs.append(self._timer.every(HELLO_PERIOD_S, self._greet_seeds))
+        self._schedule_report()
+
+    def close(self) -> None:
+        """Stop."""
+        for sub in self._subs:
+            sub.cancel()
+        self._endpoint.close()
+
+    @property
+    def fleet_size(self) -> int:
+        """Number of hosts that are known, this one included."""
+        return len(self._hosts)
+
+    # Hosts.
+
+    def _hello(self) -> Hello:
+        facts = self._facts
+        return Hello(facts.name, facts.address, facts.data_centre)
+
+    def _greet_seeds(self) -> None:
+        if self._hello_left <= 0:
+            return
+        self._hello_left -= 1
+        addresses = {host for host, _ in self._facts.seeds}
+        addresses.discard(self._facts.address)
+        self._endpoint.send(self._hello(), addresses)
+
+    def take_hosts(self, hosts: list[ListedDaemon]) -> None:
+        """Add hosts that are registered in the store."""
+        for item in hosts:
+            self._add(KnownHost(item.name, item.address, item.data_centre))
+
+    def _add(self, host: KnownHost) -> None:
+        if host.host == self._facts.name:
+            return
+        known = self._hosts.get(host.host)
+        self._hosts[host.host] = host
+        if host.data_centre != self._facts.data_centre:
+            return
+        is_new = self._peers.add(host.host, host.address, self._timer.now())
+        if is_new or known is None or known.address != host.address:
+            log_event("neighbour_known", host=host.host, address=host.address)
+            self._endpoint.send(self._hello(), [host.address])
+            self._endpoint.send(self._report(complete=True), [host.address])
+
+    # Messages.
+
+    def _on_message(
+        self, message: Hello | Introduction | HostReport, sender: str
+    ) -> None:
+        if isinstance(message, HostReport):
+            self._take_report(message, sender)
+        elif isinstance(message, Hello):
+            self._add(KnownHost(message.host, sender, message.data_centre))
+            hosts = list(self._hosts.values())
+            self._endpoint.send(Introduction(hosts), [sender])
+        else:
+            for host in message.hosts:
+                if host.host not in self._hosts:
+                    self._add(host)
+
+    def _take_report(self, report: HostReport, sender: str) -> None:
+        if report.data_centre != self._facts.data_centre:
+            return
+        if report.host not in self._hosts:
+            self._add(KnownHost(report.host, sender, report.data_centre))
+        peer = self._peers.take(report, sender, self._timer.now())
+        if peer is None:
+            return
+        if report.host in self._silent:
+            self._silent.discard(report.host)
+            log_event("neighbour_regained", host=report.host)
+        for service in self._book.take_report(report):
+            self._on_room(service)
+        self._on_report()
+
+    # Reports.
+
+    def announce(self, load: BackendLoad, seen: Sighting | None) -> None:
+        """Report a change at a backend server with the next turn of the loop."""
+        self._dirty.add(load.entry.id)
+        if seen is not None:
+            self._sightings.append(seen)
+        if not self._flush_due:
+            self._flush_due = True
+            asyncio.get_running_loop().call_soon(self._flush)
+
+    def announce_versions(self) -> None:
+        """Report at once that this host has newer rows."""
+        self._send(self._report(complete=False))
+
+    def _flush(self) -> None:
+        self._flush_due = False
+        self._send(self._report(complete=False))
+
+    def _send(self, report: HostReport) -> None:
+        self._endpoint.send(report, [p.address for p in self._peers.peers.values()])
+
+    def _report(self, *, complete: bool) -> HostReport:
+        self._seq += 1
+        loads = self._book.loads
+        if complete:
+            in_flight = {id: load.own for id, load in loads.items() if load.own}
+        else:
+            in_flight = {id: loads[id].own for id in self._dirty if id in loads}
+        sightings = self._sightings
+        self._dirty = set()
+        self._sightings = []
+        return HostReport(
+            self._facts.name,
+            self._incarnation,
+            self._facts.data_centre,
+            self._seq,
+            store_age_s=min(1e6, self._store_age_s()),
+            versions=self._versions(),
+            leaving=self.leaving,
+            complete=complete,
+            in_flight=in_flight,
+            sightings=sightings,
+        )
+
+    def _schedule_report(self) -> None:
+        count = len(self._peers.peers)
+        period_s = min(MAX_REPORT_PERIOD_S, max(REPORT_PERIOD_S, count / REPORTS_PER_S))
+        self._subs[1:] = [self._timer.call_later(period_s, self._on_turn)]
+
+    def _on_turn(self) -> None:
+        self._schedule_report()
+        if self._peers.peers:
+            self._send(self._report(complete=True))
+        self._watch_silence()
+
+    def _watch_silence(self) -> None:
+        now_s = self._timer.now()
+        live = {peer.host for peer in self._peers.live(now_s)}
+        for host, peer in self._peers.peers.items():
+            if host in live or host in self._silent or not peer.incarnation:
+                continue
+            self._silent.add(host)
+            log_event("neighbour_silent", host=host, silent_s=now_s - peer.heard_s)
+            self._book.forget_host(host)
+        for host in self._peers.expire(now_s):
+            self._silent.discard(host)
+            self._hosts.pop(host, None)
+            log_event("neighbour_forgotten", host=host)
--- /dev/null
+++ b/src/crocusward/entryd/_process.py
@@ -0,0 +1,346 @@
+"""Wiring of the daemon, its signals, and the order of start and stop."""
+
+import asyncio
+import gc
+import os
+import random
+import signal
+import time
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any
+
+from ..desired import CallerLimits, Directory, HostFacts, RowChange
+from ..errors import ConflictError, CrocusError
+from ..logs import EventSampler, Level, LogPipe, log_event
+from ..neighbours import NeighbourTable
+from ..placing import LoadBook, Placer, RetryAllowance, WorkTimes
+from ..platform import (
+    READY_PATH,
+    TABLE_BACKENDS,
+    TABLE_HOSTS,
+    TABLES,
+    ListedDaemon,
+    RowClient,
+    apply_change,
+    decode_daemon,
+    encode_daemon,
+    read_host_file,
+)
+from ..relay import (
+    BackendLink,
+    CallerAnswer,
+    CallerRequest,
+    Listener,
+    Relay,
+    refusal,
+)
+from ..timing import LoopTimer
+from ..upstream import HttpPool
+from ._exposition import expose
+from ._hub import NeighbourHub
+from ._reader import READ_TIMEOUT_S, ROWS_PATH, NeighbourRows, TableFollower
+
+TICK_S = 0.1
+SETTINGS_CHECK_S = 1.0  # the file may change without a signal
+REGISTER_PAUSE_S = 1.0
+BACKEND_CONNECTIONS = 16  # of this host to one server, which runs few at a time
+BACKEND_IDLE_S = 8.0  # servers that tell no idle time close after about 10 s
+BACKEND_CONNECT_S = 0.3  # the slowest path of a deployment takes 12 ms one way
+STORE_CONNECTIONS = 8
+NOTICE_S = 2.6  # the platform asks once a second and acts on the second refusal
+STOP_MARGIN_S = 0.6  # before the end of the grace time
+IDLE_CLOSE_SHARE = 0.7  # of the grace time, after which unused connections close
+LOG_LINES_PER_S = 20  # of each kind; more are counted
+METRICS_PATH = "/metrics"
+
+
+class _ControlHandler:
+    """Answers the platform's readiness check, neighbours and scrapers."""
+
+    def __init__(self, process: "EntryProcess") -> None:
+        self.limits = CallerLimits(8192, 0, 3.0, 60.0)
+        self._process = process
+
+    def may_overlap(self, req: CallerRequest) -> bool:
+        """Return True; nothing here has an effect."""
+        return True
+
+    def takes_body(self, size: int) -> bool:
+        """Return False; no request here has a body."""
+        return False
+
+    def body_done(self, size: int) -> None:
+        """Do nothing."""
+
+    async def answer(self, req: CallerRequest) -> CallerAnswer:
+        """Answer a request."""
+        path, _, query = req.target.partition("?")
+        if path == READY_PATH:
+            if self._process.is_ready():
+                return CallerAnswer(200, (), b"ready")
+            return refusal(503, "not ready")
+        if path == ROWS_PATH:
+            page = self._process.rows.answer(query)
+            if page is None:
+                return refusal(404, "no such rows")
+            return CallerAnswer(200, (), page)
+        if path == METRICS_PATH:
+            text = expose(self._process)
+            return CallerAnswer(200, [(b"content-type", b"text/plain")], text)
+        return refusal(404, "no such path")
+
+
+class EntryProcess:
+    """One running daemon.
+
+    Args:
+        facts: Settings of the platform.
+        path: Where the settings are read again.
+        logs: Where events go.
+    """
+
+    def __init__(self, facts: HostFacts, path: Path, logs: LogPipe) -> None:
+        loop = asyncio.get_running_loop()
+        self.facts = facts
+        self._path = path
+        self._logs = logs
+        self._rng = random.Random()
+        self.timer = LoopTimer(loop, self._rng)
+        self._stop = asyncio.Event()
+        self._leaving = False
+        self._tasks: list[asyncio.Task[None]] = []
+        self.sampler = EventSampler(self.timer.now, LOG_LINES_PER_S)
+        self.directory = Directory(facts.regions)
+        self.book = LoadBook(
+            self.directory, self.timer.now, lambda: time.time() * 1000.0
+        )
+        self.peers = NeighbourTable(facts.name)
+        self._store_pool = HttpPool(self.timer, connections=STORE_CONNECTIONS)
+        self._backend_pool = HttpPool(
+            self.timer,
+            connections=BACKEND_CONNECTIONS,
+            idle_s=BACKEND_IDLE_S,
+            connect_timeout_s=BACKEND_CONNECT_S,
+        )
+        self.store = RowClient(self._store_pool, facts.store)
+        self.followers = {name: self._make_follower(name) for name in TABLES}
+        self.hub = NeighbourHub(
+            facts,
+            time.time_ns() // 1_000_000,
+            self.timer,
+            self.book,
+            self.peers,
+            self.sampler,
+            self._versions,
+            lambda: self.timer.now() - self._answered_s(),
+            lambda service: self.relay.room_changed(service),
+            lambda: self.rows.check(),
+        )
+        times = WorkTimes()
+        bounds = facts.bounds
+        self.retries = RetryAllowance(
+            bounds.retry_ratio, bounds.retry_reserve, bounds.retry_window_s
+        )
+        self.relay = Relay(
+            self.timer,
+            self.directory,
+            self.book,
+            times,
+            Placer(
+                self.directory,
+                self.book,
+                times,
+                facts.data_centre,
+                facts.region,
+                self._rng,
+            ),
+            self.retries,
+            BackendLink(self._backend_pool),
+            self.hub,
+            self.sampler,
+            facts.limits.memory_mb,
+        )
+        control = _ControlHandler(self)
+        self.callers = Listener(self.relay, self.timer)
+        self._ready = Listener(control, self.timer)
+        self._peer_server = Listener(control, self.timer)
+        self._control = Listener(control, self.timer)
+        self.rows = NeighbourRows(
+            self.timer,
+            self.followers,
+            self.peers,
+            HttpPool(self.timer, connections=STORE_CONNECTIONS),
+            facts.peer_ports[0],
+            self.sampler,
+        )
+
+    def _make_follower(self, table: str) -> TableFollower:
+        return TableFollower(
+            table,
+            self.timer,
+            self._rng,
+            self.store,
+            self._is_reader,
+            self._on_change,
+            self._on_version,
+        )
+
+    # State.
+
+    def is_ready(self) -> bool:
+        """Return whether the platform should send callers here."""
+        return self.directory.is_usable() and not self._leaving
+
+    @property
+    def dropped_log_lines(self) -> int:
+        """Log lines that were dropped because the output was slow."""
+        return self._logs.buffer.dropped
+
+    def _answered_s(self) -> float:
+        return min(item.answered_s for item in self.followers.values())
+
+    def _is_reader(self) -> bool:
+        return self.peers.is_reader(self.timer.now(), self._answered_s())
+
+    def _versions(self) -> dict[str, int]:
+        return {name: item.copy.version for name, item in self.followers.items()}
+
+    def _on_change(self, table: str, change: RowChange) -> None:
+        had_state = self.directory.state is not None
+        apply_change(self.directory, table, change)
+        state = self.directory.state
+        if state is not None:
+            self.relay.limits = state.limits
+            if not had_state:
+                self.book.refresh_cold()
+
+    def _on_version(self) -> None:
+        if self.followers[TABLE_BACKENDS].copy.version >= 0:
+            self.directory.listed = True
+        self.hub.announce_versions()
+        for service in list(self.book.by_service):
+            self.relay.room_changed(service)
+
+    # Start.
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then stop as planned."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
+        loop.add_signal_handler(signal.SIGINT, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self._start()
+        gc.collect()
+        gc.freeze()
+        await self._stop.wait()
+        await self._shut_down()
+
+    async def _start(self) -> None:
+        facts = self.facts
+        self._logs.run(self.timer)
+        log_event(
+            "started",
+            host=facts.name,
+            data_centre=facts.data_centre,
+            region=facts.region,
+            pid=os.getpid(),
+        )
+        await self._peer_server.start(facts.address, facts.peer_ports[0])
+        if facts.control is not None:
+            await self._control.start(*facts.control)
+        await self._ready.start(*facts.ready)
+        await self.callers.start(*facts.callers)
+        await self.hub.start()
+        for follower in self.followers.values():
+            self._spawn(follower.run())
+        self._spawn(self._register())
+        self.timer.every(TICK_S, self._tick)
+        self.timer.every(SETTINGS_CHECK_S, self._check_settings)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(asyncio.get_running_loop().create_task(work))
+
+    async def _register(self) -> None:
+        """Register this host in the store and learn of the others."""
+        facts = self.facts
+        own = ListedDaemon(facts.name, facts.address, facts.data_centre)
+        is_written = False
+        while True:
+            try:
+                if not is_written:
+                    await self.store.write_row(
+                        TABLE_HOSTS, facts.name, encode_daemon(own), READ_TIMEOUT_S
+                    )
+                    is_written = True
+                page = await self.store.read_table(TABLE_HOSTS, READ_TIMEOUT_S)
+            except ConflictError as exc:
+                raise AssertionError("a write without a condition conflicts") from exc
+            except CrocusError as exc:
+                self.sampler.log("register_failed", Level.WARNING, reason=str(exc))
+                pause_s = REGISTER_PAUSE_S * (0.5 + self._rng.random())
+                await self.timer.sleep(pause_s)
+                continue
+            found = [decode_daemon(item) for item in page.changes]
+            self.hub.take_hosts([item for item in found if item is not None])
+            return
+
+    def _tick(self) -> None:
+        for follower in self.followers.values():
+            follower.release_held()
+        self.rows.check()
+        self.retries.hosts = max(1, self.hub.fleet_size)
+
+    # Settings.
+
+    def _reload(self) -> None:
+        self._apply_settings("signal")
+
+    def _check_settings(self) -> None:
+        self._apply_settings("change")
+
+    def _apply_settings(self, cause: str) -> None:
+        try:
+            facts = read_host_file(self._path)
+        except (CrocusError, OSError) as exc:
+            self.sampler.log(
+                "settings_ignored", Level.ERROR, cause=cause, reason=str(exc)
+            )
+            return
+        if facts == self.facts and cause != "signal":
+            return
+        self.facts.bounds = facts.bounds
+        self.facts.limits = facts.limits
+        self.facts.seeds = facts.seeds
+        self.retries.set_bounds(
+            facts.bounds.retry_ratio,
+            facts.bounds.retry_reserve,
+            facts.bounds.retry_window_s,
+        )
+        log_event("settings_reloaded", cause=cause)
+
+    # Stop.
+
+    async def _shut_down(self) -> None:
+        grace_s = self.facts.bounds.stop_grace_s
+        end_s = self.timer.now() + grace_s - STOP_MARGIN_S
+        log_event("stopping", grace_s=grace_s, pending=self.callers.pending)
+        self._leaving = True
+        self.hub.leaving = True
+        self.hub.announce_versions()
+        await self.timer.sleep(min(NOTICE_S, grace_s * 0.5))
+        self.callers.drain()
+        closing_s = end_s - grace_s * (1.0 - IDLE_CLOSE_SHARE) + STOP_MARGIN_S
+        while self.callers.connections and self.timer.now() < end_s:
+            self.callers.drain()
+            if self.timer.now() >= closing_s:
+                self.callers.stop_accepting()
+                self.callers.close_idle()
+            await self.timer.sleep(0.05)
+        log_event("stopped", cut=self.callers.pending)
+        for task in self._tasks:
+            task.cancel()
+        for listener in (self.callers, self._ready, self._control, self._peer_server):
+            listener.close()
+        self.hub.close()
+        self._logs.close()
--- a/src/crocusward/errors/_errors.py
+++ b/src/crocusward/errors/_errors.py
@@ -23,9 +23,16 @@
 
 
 class ExchangeLostError(CrocusError):
-    """The request was written at least in part and no whole answer came back."""
+    """The request was written at least in part and no whole answer came back.
+
+    Attributes:
+        reused: Whether the connection had served an earlier request.
+        idle_s: How long the connection was idle before the request, in seconds.
+    """
 
     code = "exchange_lost"
+    reused = False
+    idle_s = 0.0
 
 
 class ConflictError(CrocusError):
--- /dev/null
+++ b/src/crocusward/neighbours/__init__.py
@@ -0,0 +1,28 @@
+"""What daemons of a data centre tell each other many times a second."""
+
+from ._codec import MessageError, decode_message, encode_message
+from ._endpoint import NeighbourEndpoint
+from ._messages import (
+    Hello,
+    HostReport,
+    Introduction,
+    KnownHost,
+    Sighting,
+    SightingKind,
+)
+from ._table import Neighbour, NeighbourTable
+
+__all__ = [
+    "Hello",
+    "HostReport",
+    "Introduction",
+    "KnownHost",
+    "MessageError",
+    "Neighbour",
+    "NeighbourEndpoint",
+    "NeighbourTable",
+    "Sighting",
+    "SightingKind",
+    "decode_message",
+    "encode_message",
+]
--- /dev/null
+++ b/src/crocusward/neighbours/_messages.py
@@ -0,0 +1,154 @@
+"""Messages between daemons. Each fits one datagram and may be lost."""
+
+from collections.abc import Mapping, Sequence
+from enum import IntEnum
+
+from ..model import Record
+
+
+class SightingKind(IntEnum):
+    """How an exchange with a backend server ended."""
+
+    ANSWERED = 0
+    FAILED = 1  # a failure of the server, or a broken connection
+    UNREACHABLE = 2  # no connection could be opened
+    SILENT = 3  # no answer in time
+    MISDIRECTED = 4  # another server has the address
+    REFUSED = 5  # the server did not run the request
+
+
+class Sighting(Record):
+    """What one host just learned of a backend server.
+
+    Attributes:
+        backend: Id of the server.
+        kind: How the exchange ended.
+        running: Requests that the server reported to run, or -1.
+        waiting: Requests that it reported to wait.
+        pace: Reported time of work on its machine; 1.0 is usual, 0.0 unknown.
+        cold_left_s: How long it reported to remain cold, or -1.
+    """
+
+    __slots__ = ("backend", "kind", "running", "waiting", "pace", "cold_left_s")
+
+    def __init__(
+        self,
+        backend: str,
+        kind: SightingKind,
+        running: int = -1,
+        waiting: int = 0,
+        pace: float = 0.0,
+        cold_left_s: float = -1.0,
+    ) -> None:
+        self.backend = backend
+        self.kind = kind
+        self.running = running
+        self.waiting = waiting
+        self.pace = pace
+        self.cold_left_s = cold_left_s
+
+
+class HostReport(Record):
+    """State of one daemon. Numbers replace earlier ones, so that a loss repairs itself.
+
+    Attributes:
+        host: Name of the host.
+        incarnation: Start of the daemon, Unix time in milliseconds.
+        data_centre: Data centre of the host.
+        seq: Number of the report within the incarnation.
+        store_age_s: Time since the last answer of the store.
+        versions: Version by table of the store.
+        leaving: Whether the daemon is stopping.
+        complete: Whether servers missing in ``in_flight`` have none.
+        in_flight: Requests of this host by backend server.
+        waiting: Requests that wait at this host by service.
+        sightings: What the host just learned of backend servers.
+    """
+
+    __slots__ = (
+        "host",
+        "incarnation",
+        "data_centre",
+        "seq",
+        "store_age_s",
+        "versions",
+        "leaving",
+        "complete",
+        "in_flight",
+        "waiting",
+        "sightings",
+    )
+
+    def __init__(
+        self,
+        host: str,
+        incarnation: int,
+        data_centre: str,
+        seq: int,
+        *,
+        store_age_s: float,
+        versions: Mapping[str, int],
+        leaving: bool = False,
+        complete: bool = False,
+        in_flight: Mapping[str, int] | None = None,
+        waiting: Mapping[str, int] | None = None,
+        sightings: Sequence[Sighting] = (),
+    ) -> None:
+        self.host = host
+        self.incarnation = incarnation
+        self.data_centre = data_centre
+        self.seq = seq
+        self.store_age_s = store_age_s
+        self.versions = dict(versions)
+        self.leaving = leaving
+        self.complete = complete
+        self.in_flight = dict(in_flight or {})
+        self.waiting = dict(waiting or {})
+        self.sightings = list(sightings)
+
+
+class Hello(Record):
+    """Announces a daemon and asks for the hosts that the receiver knows.
+
+    Attributes:
+        host: Name of the host.
+        address: IP address of the host.
+        data_centre: Data centre of the host.
+    """
+
+    __slots__ = ("host", "address", "data_centre")
+
+    def __init__(self, host: str, address: str, data_centre: str) -> None:
+        self.host = host
+        self.address = address
+        self.data_centre = data_centre
+
+
+class KnownHost(Record):
+    """A host that a daemon knows.
+
+    Attributes:
+        host: Name of the host.
+        address: IP address of the host.
+        data_centre: Data centre of the host.
+    """
+
+    __slots__ = ("host", "address", "data_centre")
+
+    def __init__(self, host: str, address: str, data_centre: str) -> None:
+        self.host = host
+        self.address = address
+        self.data_centre = data_centre
+
+
+class Introduction(Record):
+    """Answers a Hello.
+
+    Attributes:
+        hosts: Hosts that the sender knows, itself included.
+    """
+
+    __slots__ = ("hosts",)
+
+    def __init__(self, hosts: Sequence[KnownHost]) -> None:
+        self.hosts = list(hosts)
--- /dev/null
+++ b/src/crocusward/placing/__init__.py
@@ -0,0 +1,27 @@
+"""Decisions on each request: where it runs, whether it waits, when it is refused.
+
+Nothing here does I/O; time is passed in.
+"""
+
+from ._book import LoadBook
+from ._load import BackendLoad
+from ._placer import Choice, Placer, PlaceRequest, Refused, Verdict
+from ._queue import QueuedRequest, RequestQueue
+from ._retries import RetryAllowance
+from ._split import WeightedSplit
+from ._work import WorkTimes
+
+__all__ = [
+    "BackendLoad",
+    "Choice",
+    "LoadBook",
+    "PlaceRequest",
+    "Placer",
+    "QueuedRequest",
+    "Refused",
+    "RequestQueue",
+    "RetryAllowance",
+    "Verdict",
+    "WeightedSplit",
+    "WorkTimes",
+]
--- /dev/null
+++ b/src/crocusward/placing/_book.py
@@ -0,0 +1,120 @@
+"""The loads of all backend servers, by service."""
+
+from collections.abc import Callable, Iterable
+
+from ..desired import BackendEntry, Directory
+from ..neighbours import HostReport
+from ._load import BackendLoad
+
+
+class LoadBook:
+    """Follows the list of backend servers and the reports of neighbours.
+
+    Args:
+        directory: The list of backend servers.
+        now: Monotonic clock, in seconds.
+        unix_ms: Clock of the day, in milliseconds.
+    """
+
+    __slots__ = ("loads", "by_service", "_directory", "_now", "_unix_ms", "_cold_s")
+
+    def __init__(
+        self,
+        directory: Directory,
+        now: Callable[[], float],
+        unix_ms: Callable[[], float],
+    ) -> None:
+        self.loads: dict[str, BackendLoad] = {}
+        self.by_service: dict[str, list[BackendLoad]] = {}
+        self._directory = directory
+        self._now = now
+        self._unix_ms = unix_ms
+        directory.on_backend(self._on_backend)
+        directory.on_out(self._on_out)
+
+    def _on_backend(self, old: BackendEntry | None, new: BackendEntry | None) -> None:
+        if old is not None and (new is None or self._is_other_run(old, new)):
+            self._drop(old.id)
+        if new is None:
+            return
+        load = self.loads.get(new.id)
+        if load is None:
+            load = BackendLoad(new, self._directory.region_of(new.data_centre))
+            self.loads[new.id] = load
+            self.by_service.setdefault(new.service, []).append(load)
+        load.entry = new
+        self._mark_cold(load)
+
+    @staticmethod
+    def _is_other_run(old: BackendEntry, new: BackendEntry) -> bool:
+        return (
+            old.born_ms != new.born_ms
+            or old.address != new.address
+            or old.service != new.service
+            or old.data_centre != new.data_centre
+        )
+
+    def _drop(self, id: str) -> None:
+        load = self.loads.pop(id, None)
+        if load is not None:
+            self.by_service[load.entry.service].remove(load)
+
+    def _mark_cold(self, load: BackendLoad) -> None:
+        """Use the entry's cold time, and the start of the server if it is known.
+
+        The entry may have been written long ago, so that its cold time may be over;
+        treating a warm server as cold for some seconds costs little.
+        """
+        now_s = self._now()
+        entry = load.entry
+        left_s = entry.cold_left_s
+        state = self._directory.state
+        rule = state.services.get(entry.service) if state else None
+        if entry.born_ms and rule is not None:
+            age_s = (self._unix_ms() - entry.born_ms) / 1000.0
+            left_s = max(left_s, rule.cold_s - age_s) if age_s >= 0.0 else left_s
+        load.cold_until_s = max(load.cold_until_s, now_s + left_s)
+
+    def _on_out(self, data_centre: str, is_out: bool) -> None:
+        """Treat servers that come back into service as cold until they answer."""
+        state = self._directory.state
+        if is_out or state is None:
+            return
+        now_s = self._now()
+        for load in self.loads.values():
+            rule = state.services.get(load.entry.service)
+            if load.entry.data_centre == data_centre and rule is not None:
+                load.cold_until_s = max(load.cold_until_s, now_s + rule.cold_s)
+
+    def refresh_cold(self) -> None:
+        """Judge all servers anew, once the cold times of the services are known."""
+        for load in self.loads.values():
+            self._mark_cold(load)
+
+    def take_report(self, report: HostReport) -> Iterable[str]:
+        """Take over a neighbour's report; return services that may have room now."""
+        now_s = self._now()
+        host = report.host
+        touched = set()
+        for id, count in report.in_flight.items():
+            load = self.loads.get(id)
+            if load is not None:
+                load.set_neighbour(host, count, now_s)
+                touched.add(load.entry.service)
+        if report.complete:
+            for id, load in self.loads.items():
+                if host in load.neighbours and id not in report.in_flight:
+                    load.set_neighbour(host, 0, now_s)
+                    touched.add(load.entry.service)
+        for seen in report.sightings:
+            load = self.loads.get(seen.backend)
+            if load is not None:
+                load.observe(seen, now_s)
+                touched.add(load.entry.service)
+        return touched
+
+    def forget_host(self, host: str) -> None:
+        """Drop the requests of a neighbour that fell silent."""
+        now_s = self._now()
+        for load in self.loads.values():
+            load.set_neighbour(host, 0, now_s)
--- /dev/null
+++ b/src/crocusward/placing/_queue.py
@@ -0,0 +1,66 @@
+"""Requests that wait at this host for a free backend server."""
+
+import asyncio
+from collections.abc import Iterator
+
+from ._placer import PlaceRequest
+
+
+class QueuedRequest:
+    """A waiting request.
+
+    Attributes:
+        req: What is to be placed.
+        since_s: When it began to wait.
+        patience_s: How long it waits for a server of its own.
+        fut: Gets the choice, or the refusal as exception.
+    """
+
+    __slots__ = ("req", "since_s", "patience_s", "fut")
+
+    def __init__(
+        self,
+        req: PlaceRequest,
+        since_s: float,
+        patience_s: float,
+        fut: "asyncio.Future[object]",
+    ) -> None:
+        self.req = req
+        self.since_s = since_s
+        self.patience_s = patience_s
+        self.fut = fut
+
+
+class RequestQueue:
+    """Waiting requests of one service.
+
+    Requests that can still meet their objective go first, by rank, then by the time
+    that is left. Requests beyond their objective follow, so that a backlog does not
+    make every answer late.
+    """
+
+    __slots__ = ("_items",)
+
+    def __init__(self) -> None:
+        self._items: list[QueuedRequest] = []
+
+    def __len__(self) -> int:
+        return len(self._items)
+
+    def add(self, item: QueuedRequest) -> None:
+        """Add a waiting request."""
+        self._items.append(item)
+
+    def discard(self, item: QueuedRequest) -> None:
+        """Take a request out if it waits."""
+        if item in self._items:
+            self._items.remove(item)
+
+    def in_order(self, now_s: float) -> Iterator[QueuedRequest]:
+        """Return the waiting requests, the next one first."""
+        return iter(sorted(self._items, key=lambda item: item.req.rank(now_s)))
+
+    def ahead_of(self, req: PlaceRequest, now_s: float) -> int:
+        """Return how many waiting requests go before ``req``."""
+        rank = req.rank(now_s)
+        return sum(1 for item in self._items if item.req.rank(now_s) < rank)
--- /dev/null
+++ b/src/crocusward/placing/_retries.py
@@ -0,0 +1,64 @@
+"""The fleet's budget of repeated requests, divided among the hosts."""
+
+from collections import deque
+
+USED_SHARE = 0.85  # of the fleet's bound; windows of hosts do not line up exactly
+
+
+class _Window:
+    __slots__ = ("requests", "repeats")
+
+    def __init__(self) -> None:
+        self.requests: deque[float] = deque()
+        self.repeats: deque[float] = deque()
+
+
+class RetryAllowance:
+    """Bounds repeats by service over a sliding window.
+
+    Each host may repeat its share of the reserve and a ratio of its own requests in
+    the window, so that the sum over all hosts stays within the fleet's bound without
+    a message.
+
+    Args:
+        ratio: Repeats for each request, fleet-wide.
+        reserve: Repeats in each window besides, fleet-wide.
+        window_s: Span of the window.
+    """
+
+    __slots__ = ("hosts", "_ratio", "_reserve", "_window_s", "_windows")
+
+    def __init__(self, ratio: float, reserve: float, window_s: float) -> None:
+        self.hosts = 1
+        self.set_bounds(ratio, reserve, window_s)
+        self._windows: dict[str, _Window] = {}
+
+    def set_bounds(self, ratio: float, reserve: float, window_s: float) -> None:
+        """Replace the fleet's bounds."""
+        self._ratio = ratio * USED_SHARE
+        self._reserve = reserve * USED_SHARE
+        self._window_s = window_s
+
+    def _window(self, service: str, now_s: float) -> _Window:
+        window = self._windows.setdefault(service, _Window())
+        for times in (window.requests, window.repeats):
+            while times and now_s - times[0] > self._window_s:
+                times.popleft()
+        return window
+
+    def count_request(self, service: str, now_s: float) -> None:
+        """Count a request of a caller."""
+        self._window(service, now_s).requests.append(now_s)
+
+    def left(self, service: str, now_s: float) -> float:
+        """Return repeats that are left at this moment."""
+        window = self._window(service, now_s)
+        allowed = self._ratio * len(window.requests) + self._reserve / self.hosts
+        return allowed - len(window.repeats)
+
+    def take(self, service: str, now_s: float, keep: float = 0.0) -> bool:
+        """Spend one repeat if more than ``keep`` are left."""
+        if self.left(service, now_s) < 1.0 + keep:
+            return False
+        self._window(service, now_s).repeats.append(now_s)
+        return True
--- /dev/null
+++ b/src/crocusward/placing/_work.py
@@ -0,0 +1,84 @@
+"""How long requests of each route take on an idle backend server."""
+
+GAIN = 0.08  # weight of the newest answer
+FIRST_SAMPLES = 12  # that weigh equally
+START_SHARE = 1.0 / 3.0  # of the objective; operators set objectives at a few times it
+MAX_OUTLIER = 4.0  # times the average; a stuck server must not move it
+START_SHARING = 1.3  # slowdown of a server with more than one request, until measured
+MAX_SHARING = 3.0
+MIN_SHARING_SAMPLES = 10
+PACE_GAIN = 0.02
+
+
+class _Mean:
+    __slots__ = ("value", "samples")
+
+    def __init__(self, value: float) -> None:
+        self.value = value
+        self.samples = 0
+
+    def add(self, sample: float) -> None:
+        """Add a sample; the first ones weigh equally."""
+        self.samples += 1
+        if self.samples == 1:
+            self.value = sample
+            return
+        sample = min(sample, MAX_OUTLIER * self.value)
+        gain = max(GAIN, 1.0 / self.samples if self.samples < FIRST_SAMPLES else 0.0)
+        self.value += gain * (sample - self.value)
+
+
+class WorkTimes:
+    """Learns work by route, the cost of sharing by service, and the usual pace."""
+
+    __slots__ = ("_work", "_alone", "_shared", "_pace")
+
+    def __init__(self) -> None:
+        self._work: dict[tuple[str, str], _Mean] = {}
+        self._alone: dict[str, _Mean] = {}
+        self._shared: dict[str, _Mean] = {}
+        self._pace: dict[str, _Mean] = {}
+
+    def work_s(self, service: str, route: str, objective_s: float) -> float:
+        """Return the usual time of a request on a server that it has to itself."""
+        mean = self._work.get((service, route))
+        return mean.value if mean else objective_s * START_SHARE
+
+    def sharing(self, service: str) -> float:
+        """Return how much longer work takes on a server whose slots are all taken."""
+        alone = self._alone.get(service)
+        shared = self._shared.get(service)
+        if alone is None or shared is None or shared.samples < MIN_SHARING_SAMPLES:
+            return START_SHARING
+        return min(MAX_SHARING, max(1.0, shared.value / alone.value))
+
+    def usual_pace(self, service: str) -> float:
+        """Return the average pace that servers report, 0 if none does."""
+        mean = self._pace.get(service)
+        return mean.value if mean else 0.0
+
+    def observe_pace(self, service: str, pace: float) -> None:
+        """Add a reported pace."""
+        mean = self._pace.setdefault(service, _Mean(pace))
+        mean.value += PACE_GAIN * (pace - mean.value)
+
+    def observe(
+        self, service: str, route: str, objective_s: float, took_s: float, filled: bool
+    ) -> float:
+        """Add the time of an answer; return it relative to the usual one.
+
+        Args:
+            service: Name of the service.
+            route: Name of the route.
+            objective_s: Objective of the route.
+            took_s: From the request to its answer.
+            filled: Whether the request took the last free slot of the server.
+        """
+        usual_s = self.work_s(service, route, objective_s)
+        ratio = took_s / usual_s if usual_s > 0.0 else 1.0
+        group = self._shared if filled else self._alone
+        group.setdefault(service, _Mean(1.0)).add(ratio)
+        if filled:
+            return ratio / self.sharing(service)
+        self._work.setdefault((service, route), _Mean(usual_s)).add(took_s)
+        return ratio
--- a/src/crocusward/platform/__init__.py
+++ b/src/crocusward/platform/__init__.py
@@ -1,5 +1,6 @@
-"""Interfaces to the platform: table service, object store, host list."""
+"""Interfaces to the platform and its names, formats and calls."""
 
+from ._changes import ListedDaemon, apply_change, decode_daemon, encode_daemon
 from ._clients import (
     HOST_LISTS,
     OBJECT_STORES,
@@ -8,6 +9,8 @@
     HttpObjects,
     HttpTable,
 )
+from ._documents import decode_backend, decode_desired_state
+from ._host_file import decode_host_file, read_host_file
 from ._http import Backoff, HttpAnswer, HttpClient, PlatformCaller, ServiceAddress
 from ._interfaces import (
     ABSENT,
@@ -18,14 +21,50 @@
     TableService,
     Write,
 )
+from ._rows import HistoryLostError, RowClient
+from ._words import (
+    BACKEND_ID,
+    BACKEND_LOAD,
+    BODY_DIGEST,
+    COLD_LEFT,
+    EXPECTED_BACKEND,
+    NOT_RUN,
+    READY_PATH,
+    REQUEST_ID,
+    SETTINGS_VARIABLE,
+    TABLE_BACKENDS,
+    TABLE_HOSTS,
+    TABLE_OPERATOR,
+    TABLES,
+    TIME_LEFT,
+)
 
 __all__ = [
+    "BACKEND_ID",
+    "BACKEND_LOAD",
+    "BODY_DIGEST",
+    "COLD_LEFT",
+    "EXPECTED_BACKEND",
+    "NOT_RUN",
+    "READY_PATH",
+    "REQUEST_ID",
+    "SETTINGS_VARIABLE",
+    "TABLE_BACKENDS",
+    "TABLE_HOSTS",
+    "TABLE_OPERATOR",
+    "TABLES",
+    "TIME_LEFT",
+    "ListedDaemon",
+    "apply_change",
+    "decode_daemon",
+    "encode_daemon",
     "ABSENT",
     "ANY",
     "HOST_LISTS",
     "OBJECT_STORES",
     "TABLE_SERVICES",
     "Backoff",
+    "HistoryLostError",
     "HostList",
     "HttpAnswer",
     "HttpClient",
@@ -35,7 +74,12 @@
     "ObjectStore",
     "PlatformCaller",
     "Row",
+    "RowClient",
     "ServiceAddress",
     "TableService",
     "Write",
+    "decode_backend",
+    "decode_desired_state",
+    "decode_host_file",
+    "read_host_file",
 ]
--- /dev/null
+++ b/src/crocusward/platform/_changes.py
@@ -0,0 +1,97 @@
+"""Turns changed rows of the store into changes of the directory."""
+
+import cbor2
+
+from ..desired import Directory, RowChange
+from ..errors import FindingsError
+from ..logs import Level, log_event
+from ._documents import decode_backend, decode_desired_state
+from ._words import KEY_DESIRED_STATE, KEY_OUT_PREFIX, TABLE_BACKENDS, TABLE_OPERATOR
+
+
+class ListedDaemon:
+    """A daemon as it registered itself.
+
+    Attributes:
+        name: Name of its host.
+        address: IP address of its host.
+        data_centre: Data centre of its host.
+    """
+
+    __slots__ = ("name", "address", "data_centre")
+
+    def __init__(self, name: str, address: str, data_centre: str) -> None:
+        self.name = name
+        self.address = address
+        self.data_centre = data_centre
+
+
+def apply_change(directory: Directory, table: str, change: RowChange) -> None:
+    """Apply one changed row; a row that cannot be read is logged and names nothing."""
+    if table == TABLE_BACKENDS:
+        _apply_backend(directory, change)
+    elif table == TABLE_OPERATOR:
+        _apply_operator(directory, change)
+
+
+def _apply_backend(directory: Directory, change: RowChange) -> None:
+    if change.value is None:
+        log_event("backend_removed", backend=change.key, version=change.version)
+        directory.set_backend(change.key, None)
+        return
+    try:
+        entry = decode_backend(change.key, change.value)
+    except FindingsError as exc:
+        log_event(
+            "backend_entry_ignored",
+            Level.WARNING,
+            backend=change.key,
+            version=change.version,
+            reason=str(exc.findings[0]),
+        )
+        directory.set_backend(change.key, None)
+        return
+    log_event(
+        "backend_listed",
+        backend=entry.id,
+        service=entry.service,
+        data_centre=entry.data_centre,
+        leaving=entry.leaving,
+        cold_left_s=entry.cold_left_s,
+        version=change.version,
+    )
+    directory.set_backend(entry.id, entry)
+
+
+def _apply_operator(directory: Directory, change: RowChange) -> None:
+    if change.key.startswith(KEY_OUT_PREFIX):
+        name = change.key[len(KEY_OUT_PREFIX) :]
+        directory.set_out(name, change.value is not None)
+    elif change.key == KEY_DESIRED_STATE and change.value is not None:
+        try:
+            directory.set_state(decode_desired_state(change.value))
+        except FindingsError as exc:
+            log_event(
+                "desired_state_ignored",
+                Level.ERROR,
+                version=change.version,
+                findings=len(exc.findings),
+                reason=str(exc.findings[0]),
+            )
+
+
+def encode_daemon(daemon: ListedDaemon) -> bytes:
+    """Return the row by which a daemon registers itself."""
+    return cbor2.dumps([daemon.address, daemon.data_centre])
+
+
+def decode_daemon(change: RowChange) -> ListedDaemon | None:
+    """Return the daemon of a row, or None if the row cannot be read."""
+    try:
+        address, data_centre = cbor2.loads(change.value or b"")
+    except (cbor2.CBORError, ValueError, TypeError) as exc:
+        log_event("daemon_row_ignored", Level.WARNING, host=change.key, reason=str(exc))
+        return None
+    if not isinstance(address, str) or not isinstance(data_centre, str):
+        return None
+    return ListedDaemon(change.key, address, data_centre)
--- /dev/null
+++ b/src/crocusward/platform/_rows.py
@@ -0,0 +1,210 @@
+"""Client of the platform's rows: reads, changes and conditional writes."""
+
+import base64
+import binascii
+import json
+from collections.abc import Mapping
+from typing import Any
+from urllib.parse import urlencode
+
+from ..desired import RowChange, TablePage
+from ..errors import (
+    ConflictError,
+    CrocusError,
+    ExchangeLostError,
+    NotSentError,
+    StoreUnavailableError,
+    StoreUncertainError,
+)
+from ._http import HttpAnswer, HttpClient
+
+ANSWER_BYTES = 4 << 20  # the store's limit is 1 MB of rows, a third more in base64
+PAGE_ROWS = 500  # rows that the store returns at most
+MAX_PAGES = 40  # of one complete read; 20,000 rows
+_JSON = ((b"content-type", b"application/json"),)
+
+
+class HistoryLostError(CrocusError):
+    """The store no longer has the changes after the version that was asked for."""
+
+    code = "history_lost"
+
+
+class RowClient:
+    """Calls the rows of the platform's store, each call once.
+
+    Args:
+        client: Sends single requests.
+        address: IP address and port of the store.
+    """
+
+    __slots__ = ("_client", "_address", "calls")
+
+    def __init__(self, client: HttpClient, address: tuple[str, int]) -> None:
+        self._client = client
+        self._address = address
+        self.calls = 0
+
+    async def read_table(self, table: str, timeout_s: float) -> TablePage:
+        """Return all rows of a table.
+
+        The pages of a large table are of different versions. The oldest of these is
+        returned, so that changes made between the pages are read again.
+
+        Raises:
+            StoreUnavailableError: No usable answer came in time.
+        """
+        changes: list[RowChange] = []
+        version = -1
+        start = ""
+        for _ in range(MAX_PAGES):
+            query: dict[str, object] = {"table": table, "part": ""}
+            query["limit"] = PAGE_ROWS
+            if start:
+                query["from"] = start
+            document = await self._get("/rows-get", query, timeout_s)
+            page = _decode_page(document, complete=True)
+            version = page.version if version < 0 else min(version, page.version)
+            changes += page.changes
+            if not document.get("hasMore") or not page.changes:
+                return TablePage(version, changes, complete=True)
+            start = page.changes[-1].key + "\0"
+        raise StoreUnavailableError(f"table {table} has too many rows")
+
+    async def wait_for_changes(
+        self, table: str, after: int, wait_s: float, timeout_s: float
+    ) -> TablePage:
+        """Return the changes after a version, as soon as there is one.
+
+        Args:
+            table: Name of the table.
+            after: Version to resume from.
+            wait_s: How long the store waits for a change, in seconds.
+            timeout_s: Time limit of the whole call, in seconds.
+
+        Raises:
+            HistoryLostError: The table must be read as a whole.
+            StoreUnavailableError: No usable answer came in time.
+        """
+        query = {"table": table, "after": after, "waitMs": int(wait_s * 1000.0)}
+        return _decode_page(
+            await self._get("/rows-feed", query, timeout_s), complete=False
+        )
+
+    async def write_row(
+        self,
+        table: str,
+        key: str,
+        value: bytes,
+        timeout_s: float,
+        expect: int | None = None,
+    ) -> None:
+        """Write one row.
+
+        Args:
+            table: Name of the table.
+            key: Key of the row.
+            value: Content.
+            timeout_s: Time limit, in seconds.
+            expect: Version that the row must have, 0 if it must be absent, None for
+                any.
+
+        Raises:
+            ConflictError: The row has another version; nothing was written.
+            StoreUnavailableError: Nothing was written.
+            StoreUncertainError: The effect is unknown.
+        """
+        row = {"table": table, "part": "", "key": key}
+        document = {
+            "precondition": [] if expect is None else [{**row, "ver": expect}],
+            "writes": [{**row, "value": base64.b64encode(value).decode("ascii")}],
+            "deletes": [],
+        }
+        await self._transact(document, timeout_s)
+
+    async def delete_row(self, table: str, key: str, timeout_s: float) -> None:
+        """Delete one row; a missing one does no harm.
+
+        Raises:
+            StoreUnavailableError: Nothing was written.
+            StoreUncertainError: The effect is unknown.
+        """
+        row = {"table": table, "part": "", "key": key}
+        document = {"precondition": [], "writes": [], "deletes": [row]}
+        await self._transact(document, timeout_s)
+
+    async def _transact(self, document: Mapping[str, Any], timeout_s: float) -> None:
+        body = json.dumps(document).encode("ascii")
+        try:
+            answer = await self._call("POST", "/rows-tx", body, timeout_s)
+        except NotSentError as exc:
+            raise StoreUnavailableError(f"/rows-tx: {exc}") from exc
+        except ExchangeLostError as exc:
+            raise StoreUncertainError(f"/rows-tx: {exc}") from exc
+        if answer.status == 412:
+            raise ConflictError("/rows-tx: a row has another version")
+        if answer.status in (429, 503):
+            raise StoreUnavailableError(f"/rows-tx: status {answer.status}")
+        if answer.status != 200:
+            raise StoreUncertainError(f"/rows-tx: status {answer.status}")
+
+    async def _get(
+        self, path: str, query: Mapping[str, object], timeout_s: float
+    ) -> dict[str, Any]:
+        target = f"{path}?{urlencode(query)}"
+        try:
+            answer = await self._call("GET", target, b"", timeout_s)
+        except (NotSentError, ExchangeLostError) as exc:
+            raise StoreUnavailableError(f"{path}: {exc}") from exc
+        if answer.status == 410:
+            raise HistoryLostError(f"{path}: the history is no longer available")
+        if answer.status != 200:
+            raise StoreUnavailableError(f"{path}: status {answer.status}")
+        try:
+            document = json.loads(answer.body)
+        except (ValueError, RecursionError) as exc:
+            raise StoreUnavailableError(f"{path}: malformed answer") from exc
+        if not isinstance(document, dict):
+            raise StoreUnavailableError(f"{path}: malformed answer")
+        return document
+
+    async def _call(
+        self, method: str, path: str, body: bytes, timeout_s: float
+    ) -> HttpAnswer:
+        self.calls += 1
+        address, port = self._address
+        return await self._client.request(
+            address,
+            port,
+            method,
+            path,
+            _JSON if body else (),
+            body,
+            timeout_s=timeout_s,
+            limit_bytes=ANSWER_BYTES,
+        )
+
+
+def _decode_page(document: Mapping[str, Any], *, complete: bool) -> TablePage:
+    version = document.get("ver")
+    rows = document.get("rows")
+    if type(version) is not int or not isinstance(rows, list):
+        raise StoreUnavailableError("a page of rows lacks its version or rows")
+    return TablePage(
+        version, [_decode_row(row, version) for row in rows], complete=complete
+    )
+
+
+def _decode_row(row: Any, page_version: int) -> RowChange:
+    if not isinstance(row, dict) or not isinstance(row.get("key"), str):
+        raise StoreUnavailableError("a row lacks its key")
+    version = row.get("ver")
+    if type(version) is not int:
+        version = page_version
+    if row.get("removed"):
+        return RowChange(row["key"], None, version)
+    try:
+        value = base64.b64decode(row.get("value") or "", validate=True)
+    except (binascii.Error, TypeError, ValueError) as exc:
+        raise StoreUnavailableError(f"row {row['key']!r} is malformed") from exc
+    return RowChange(row["key"], value, version)
--- /dev/null
+++ b/src/crocusward/platform/_words.py
@@ -0,0 +1,25 @@
+"""Names on the wire of the users' platform. Nothing outside this package knows them."""
+
+# Tables of the store. "servers" holds backend servers, "op" what operators want.
+TABLE_BACKENDS = "servers"
+TABLE_OPERATOR = "op"
+TABLE_HOSTS = "crocusward-hosts"
+TABLES = (TABLE_OPERATOR, TABLE_BACKENDS)
+
+KEY_DESIRED_STATE = "config"
+KEY_OUT_PREFIX = "evacuate/"
+
+# Headers, in lower case.
+REQUEST_ID = b"crocusward-request-id"
+# Milliseconds that the sender goes on waiting, not a point in time.
+TIME_LEFT = b"crocusward-deadline-ms"
+EXPECTED_BACKEND = b"crocusward-expected-instance"
+BACKEND_ID = b"crocusward-instance-id"
+# Opaque proof that a body is whole.
+BODY_DIGEST = b"crocusward-response-signature"
+NOT_RUN = b"crocusward-not-executed"
+BACKEND_LOAD = b"crocusward-server-load"
+COLD_LEFT = b"crocusward-warmup-remaining-ms"
+
+SETTINGS_VARIABLE = "CROCUSWARD_BOOT"
+READY_PATH = "/ready"
--- /dev/null
+++ b/src/crocusward/relay/__init__.py
@@ -0,0 +1,19 @@
+"""The path of a request: from a caller to a backend server and back."""
+
+from ._caller import CallerConnection
+from ._exchange import BackendLink, Exchange, ExchangeEnd
+from ._listener import Listener
+from ._messages import CallerAnswer, CallerRequest, refusal
+from ._pipeline import Relay
+
+__all__ = [
+    "BackendLink",
+    "CallerAnswer",
+    "CallerConnection",
+    "CallerRequest",
+    "Exchange",
+    "ExchangeEnd",
+    "Listener",
+    "Relay",
+    "refusal",
+]
--- /dev/null
+++ b/src/crocusward/relay/_caller.py
@@ -0,0 +1,394 @@
+"""Server side of one connection of a caller."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol, cast
+
+import httptools
+
+from ..desired import CallerLimits
+from ..platform import REQUEST_ID, TIME_LEFT
+from ._messages import CallerAnswer, CallerRequest, Headers, refusal
+
+MAX_PENDING = 32  # requests of one connection that are read ahead
+LINGER_S = 1.0  # what a caller still sends after a refusal is read for this long
+DEFAULT_LIMITS = CallerLimits(16_384, 1 << 20, 3.0, 15.0)  # before a desired state
+CHUNK_OVERHEAD_BYTES = 65_536  # chunk heads and trailers between parts of a body
+
+
+class RequestHandler(Protocol):
+    """What answers requests."""
+
+    limits: CallerLimits
+
+    async def answer(self, req: CallerRequest) -> CallerAnswer:
+        """Answer a request; cancelled when the caller leaves."""
+
+    def may_overlap(self, req: CallerRequest) -> bool:
+        """Return whether a request may start before earlier ones are answered."""
+
+    def takes_body(self, size: int) -> bool:
+        """Return whether there is memory for a body of this size."""
+
+    def body_done(self, size: int) -> None:
+        """Return the memory of a body."""
+
+
+class _Pending:
+    """A request that is not answered yet."""
+
+    __slots__ = ("req", "task", "answer", "complete", "keep_alive", "held_bytes")
+
+    def __init__(self, req: CallerRequest, keep_alive: bool) -> None:
+        self.req = req
+        self.task: asyncio.Task[CallerAnswer] | None = None
+        self.answer: CallerAnswer | None = None
+        self.complete = False
+        self.keep_alive = keep_alive
+        self.held_bytes = 0
+
+
+class CallerConnection(asyncio.Protocol):
+    """Reads requests, has them answered, and writes the answers in their order.
+
+    Idempotent requests that were sent ahead run at the same time. Any other request
+    starts only once all before it are answered: an answer that ends the connection
+    makes the caller send the rest again.
+
+    Args:
+        handler: Answers the requests.
+        now: Monotonic clock, in seconds.
+        on_open: Called with the connection when it opens.
+        on_close: Called with the connection when it is gone.
+    """
+
+    __slots__ = (
+        "_handler",
+        "_now",
+        "_on_open",
+        "_on_close",
+        "_transport",
+        "_parser",
+        "_pending",
+        "_target",
+        "_headers",
+        "_head_bytes",
+        "_current",
+        "_in_head",
+        "_busy_since_s",
+        "_ended",
+        "_broken",
+        "_draining",
+        "_extra_bytes",
+    )
+
+    def __init__(
+        self,
+        handler: RequestHandler,
+        now: Callable[[], float],
+        on_open: Callable[["CallerConnection"], object],
+        on_close: Callable[["CallerConnection"], object],
+    ) -> None:
+        self._handler = handler
+        self._now = now
+        self._on_open = on_open
+        self._on_close = on_close
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._pending: deque[_Pending] = deque()
+        self._current: _Pending | None = None
+        self._in_head = False
+        self._ended = False
+        self._broken = False
+        self._draining = False
+        self._busy_since_s = now()
+        self._start_head()
+        self._in_head = False
+
+    def _start_head(self) -> None:
+        self._target = b""
+        self._headers: Headers = []
+        self._head_bytes = 0
+        self._extra_bytes = 0
+        self._in_head = True
+
+    # State.
+
+    @property
+    def pending(self) -> int:
+        """Requests that were read, at least in part, and not answered."""
+        return len(self._pending)
+
+    @property
+    def is_idle(self) -> bool:
+        """Return True if no request has begun to arrive."""
+        return not self._pending and not self._in_head
+
+    def drain(self) -> None:
+        """Close with the next answer, since the daemon stops."""
+        self._draining = True
+
+    def close(self) -> None:
+        """Close once written bytes are out."""
+        self._ended = True
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close at once."""
+        self._ended = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def check_times(self, now_s: float) -> None:
+        """Close a connection that was unused or stuck for too long."""
+        limits = self._handler.limits
+        quiet_s = now_s - self._busy_since_s
+        if self._ended or self._broken:
+            return
+        if self._in_head:
+            if quiet_s > limits.head_timeout_s:
+                self._reject(refusal(408, "the head took too long", close=True))
+        elif self._current is not None:
+            if quiet_s > limits.idle_timeout_s:
+                self._reject(refusal(408, "the body took too long", close=True))
+        elif not self._pending and quiet_s > limits.idle_timeout_s:
+            self.close()
+
+    # Callbacks of the transport.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = cast(asyncio.Transport, transport)
+        self._on_open(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes; a fault ends this connection and no other."""
+        if self._ended or self._broken:
+            return
+        if not self._in_head:
+            self._busy_since_s = self._now()
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._reject(refusal(400, "upgrades are not supported", close=True))
+        except httptools.HttpParserError:
+            if not self._ended and not self._broken:
+                self._reject(refusal(400, "the request is malformed", close=True))
+
+    def eof_received(self) -> bool:
+        """Treat the end of the stream as the caller having left."""
+        self._cancel_all()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel what is under way."""
+        self._ended = True
+        self._cancel_all()
+        self._on_close(self)
+
+    def _cancel_all(self) -> None:
+        self._ended = True
+        for item in self._pending:
+            self._release(item)
+            if item.task is not None:
+                item.task.cancel()
+        self._pending.clear()
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        """Start a head."""
+        self._start_head()
+        self._busy_since_s = self._now()
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the target."""
+        self._target += url
+        self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header; trailers are dropped."""
+        self._count_head(len(name) + len(value) + 4)
+        if self._in_head:
+            self._headers.append((name.lower(), value))
+
+    def _count_head(self, size: int) -> None:
+        self._head_bytes += size
+        if self._head_bytes > self._handler.limits.head_bytes:
+            self._reject(refusal(431, "the head is too large", close=True))
+            raise ValueError("head too large")
+
+    def on_headers_complete(self) -> None:
+        """Check a head and keep the request."""
+        self._in_head = False
+        req = self._read_head()
+        if req is None:
+            raise ValueError("the head is malformed")
+        item = _Pending(req, self._parser.should_keep_alive())
+        self._current = item
+        self._pending.append(item)
+        if len(self._pending) > MAX_PENDING and self._transport is not None:
+            self._transport.pause_reading()
+        length = _value_of(req.headers, b"content-length")
+        if length is not None and int(length) > self._handler.limits.body_bytes:
+            self._reject_current(refusal(413, "the body is too large", close=True))
+            raise ValueError("body too large")
+        if _value_of(req.headers, b"expect") is not None and self._transport:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _read_head(self) -> CallerRequest | None:
+        hosts = [value for name, value in self._headers if name == b"host"]
+        if len(hosts) != 1 or not self._target.startswith(b"/"):
+            return None
+        try:
+            target = self._target.decode("ascii")
+            host = hosts[0].decode("ascii").lower()
+        except UnicodeDecodeError:
+            return None
+        if not host.startswith("["):
+            host = host.partition(":")[0]
+        time_left = _value_of(self._headers, TIME_LEFT)
+        time_left_s = None
+        if time_left is not None and time_left.isdigit():
+            time_left_s = int(time_left) / 1000.0
+        return CallerRequest(
+            self._parser.get_method().decode("ascii"),
+            target,
+            host,
+            self._headers,
+            id=_value_of(self._headers, REQUEST_ID) or b"",
+            received_s=self._now(),
+            time_left_s=time_left_s,
+        )
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a part of the body within the limits."""
+        item = self._current
+        if item is None or self._ended:
+            return
+        size = item.held_bytes + len(body)
+        if size > self._handler.limits.body_bytes:
+            self._reject_current(refusal(413, "the body is too large", close=True))
+            raise ValueError("body too large")
+        if not self._handler.takes_body(len(body)):
+            text = "no memory for the body"
+            self._reject_current(refusal(503, text, retry_after_s=1.0, close=True))
+            raise ValueError("no memory")
+        item.held_bytes = size
+        item.req.body = item.req.body + body if item.req.body else body
+
+    def on_message_complete(self) -> None:
+        """Have a whole request answered."""
+        item = self._current
+        self._current = None
+        if item is None or self._ended:
+            return
+        item.complete = True
+        self._start_ready()
+
+    # Answers.
+
+    def _start_ready(self) -> None:
+        """Start each complete request that need not wait for those before it."""
+        for index, item in enumerate(self._pending):
+            if not item.complete:
+                return
+            if item.task is None and item.answer is None:
+                if index and not self._handler.may_overlap(item.req):
+                    return
+                self._start(item)
+
+    def _start(self, item: _Pending) -> None:
+        work: Coroutine[Any, Any, CallerAnswer] = self._handler.answer(item.req)
+        task = asyncio.get_running_loop().create_task(work)
+        item.task = task
+        task.add_done_callback(lambda done: self._on_done(item, done))
+
+    def _on_done(self, item: _Pending, task: "asyncio.Task[CallerAnswer]") -> None:
+        self._release(item)
+        if task.cancelled() or (self._ended and not self._pending):
+            return
+        if task.exception() is not None:
+            item.answer = refusal(502, "internal error", close=True)
+        else:
+            item.answer = task.result()
+        self._flush()
+
+    def _release(self, item: _Pending) -> None:
+        if item.held_bytes:
+            self._handler.body_done(item.held_bytes)
+            item.held_bytes = 0
+
+    def _flush(self) -> None:
+        transport = self._transport
+        while self._pending and self._pending[0].answer is not None:
+            item = self._pending.popleft()
+            answer = item.answer
+            if transport is None or transport.is_closing() or answer is None:
+                return
+            keep_alive = item.keep_alive and not answer.close
+            if self._draining and not self._pending and not self._in_head:
+                keep_alive = False
+            has_body = item.req.method != "HEAD"
+            transport.write(answer.encode(keep_alive, has_body))
+            self._busy_since_s = self._now()
+            if not keep_alive:
+                self._end(not item.complete)
+                return
+        if transport is not None and len(self._pending) <= MAX_PENDING:
+            transport.resume_reading()
+        self._start_ready()
+
+    def _end(self, unread: bool) -> None:
+        """Close after an answer.
+
+        Closing with unread bytes would reset the connection, and the caller could
+        lose the answer, so that writing ends first and the rest is read and dropped.
+        """
+        transport = self._transport
+        self._cancel_all()
+        if transport is None:
+            return
+        if (unread or self._in_head) and transport.can_write_eof():
+            transport.write_eof()
+            asyncio.get_running_loop().call_later(LINGER_S, transport.close)
+        else:
+            transport.close()
+
+    def _reject_current(self, answer: CallerAnswer) -> None:
+        item = self._current
+        if item is None:
+            return
+        self._broken = True
+        self._current = None
+        self._release(item)
+        item.answer = answer
+        self._flush()
+
+    def _reject(self, answer: CallerAnswer) -> None:
+        """Answer what is no complete request, after the answers before it."""
+        if self._ended or self._broken:
+            return
+        self._broken = True
+        self._in_head = False
+        if self._current is not None:
+            self._reject_current(answer)
+            return
+        req = CallerRequest(
+            "GET", "/", "", [], id=b"", received_s=self._now(), time_left_s=None
+        )
+        item = _Pending(req, False)
+        item.answer = answer
+        self._pending.append(item)
+        if self._transport is not None:
+            self._transport.pause_reading()
+        self._flush()
+
+
+def _value_of(headers: Headers, name: bytes) -> bytes | None:
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
--- /dev/null
+++ b/src/crocusward/relay/_listener.py
@@ -0,0 +1,87 @@
+"""A listening socket with its connections."""
+
+import asyncio
+from collections.abc import Callable
+
+from ..timing import Subscription, TimerService
+from ._caller import CallerConnection, RequestHandler
+
+BACKLOG = 1024
+SWEEP_S = 0.5  # period of the check for connections that were unused for too long
+
+
+class Listener:
+    """Accepts connections on one address and ends them in order.
+
+    Args:
+        handler: Answers the requests.
+        timer: Source of time.
+    """
+
+    __slots__ = ("connections", "accepted", "_handler", "_timer", "_server", "_sweep")
+
+    def __init__(self, handler: RequestHandler, timer: TimerService) -> None:
+        self.connections: set[CallerConnection] = set()
+        self.accepted = 0
+        self._handler = handler
+        self._timer = timer
+        self._server: asyncio.Server | None = None
+        self._sweep: Subscription | None = None
+
+    async def start(self, address: str, port: int) -> None:
+        """Listen.
+
+        Raises:
+            OSError: The address is not available.
+        """
+        loop = asyncio.get_running_loop()
+        now: Callable[[], float] = self._timer.now
+
+        def make() -> CallerConnection:
+            return CallerConnection(
+                self._handler, now, self._opened, self.connections.discard
+            )
+
+        self._server = await loop.create_server(
+            make, address, port, backlog=BACKLOG, reuse_address=True
+        )
+        self._sweep = self._timer.every(SWEEP_S, self._check_times)
+
+    def _opened(self, conn: CallerConnection) -> None:
+        self.accepted += 1
+        self.connections.add(conn)
+
+    def _check_times(self) -> None:
+        now_s = self._timer.now()
+        for conn in list(self.connections):
+            conn.check_times(now_s)
+
+    @property
+    def pending(self) -> int:
+        """Requests that are not answered yet."""
+        return sum(conn.pending for conn in self.connections)
+
+    def drain(self) -> None:
+        """End each connection with its next answer."""
+        for conn in self.connections:
+            conn.drain()
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request has begun to arrive."""
+        for conn in list(self.connections):
+            if conn.is_idle:
+                conn.close()
+
+    def stop_accepting(self) -> None:
+        """Refuse new connections."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    def close(self) -> None:
+        """Close everything at once."""
+        self.stop_accepting()
+        if self._sweep is not None:
+            self._sweep.cancel()
+        for conn in list(self.connections):
+            conn.abort()
--- /dev/null
+++ b/src/crocusward/relay/_messages.py
@@ -0,0 +1,125 @@
+"""Requests of callers and the answers to them."""
+
+from collections.abc import Sequence
+from http import HTTPStatus
+
+from ..model import Record
+
+Headers = list[tuple[bytes, bytes]]
+STATUS_LINES = {
+    status.value: b"HTTP/1.1 %d %s\r\n" % (status.value, status.phrase.encode("ascii"))
+    for status in HTTPStatus
+}
+
+
+class CallerRequest(Record):
+    """One request as a caller sent it.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query.
+        host: Host name without port, in lower case.
+        headers: Headers with names in lower case.
+        body: The whole body.
+        id: Id of the request, or b"".
+        received_s: When its head arrived, in monotonic seconds.
+        time_left_s: How long the caller waits from then on, or None.
+    """
+
+    __slots__ = (
+        "method",
+        "target",
+        "host",
+        "headers",
+        "body",
+        "id",
+        "received_s",
+        "time_left_s",
+    )
+
+    def __init__(
+        self,
+        method: str,
+        target: str,
+        host: str,
+        headers: Headers,
+        *,
+        id: bytes,
+        received_s: float,
+        time_left_s: float | None,
+    ) -> None:
+        self.method = method
+        self.target = target
+        self.host = host
+        self.headers = headers
+        self.body = b""
+        self.id = id
+        self.received_s = received_s
+        self.time_left_s = time_left_s
+
+    @property
+    def path(self) -> str:
+        """Path without the query."""
+        return self.target.partition("?")[0]
+
+
+class CallerAnswer(Record):
+    """A whole answer to a caller.
+
+    Attributes:
+        status: HTTP status.
+        headers: Headers without framing, names in lower case.
+        body: The whole body.
+        close: Whether the connection ends with it.
+        own_length: Value of Content-Length if the body is left out, as for HEAD.
+    """
+
+    __slots__ = ("status", "headers", "body", "close", "own_length")
+
+    def __init__(
+        self,
+        status: int,
+        headers: Sequence[tuple[bytes, bytes]] = (),
+        body: bytes = b"",
+        *,
+        close: bool = False,
+        own_length: bytes | None = None,
+    ) -> None:
+        self.status = status
+        self.headers = list(headers)
+        self.body = body
+        self.close = close
+        self.own_length = own_length
+
+    def encode(self, keep_alive: bool, has_body: bool = True) -> bytes:
+        """Return the bytes of the answer."""
+        parts = [STATUS_LINES.get(self.status, b"HTTP/1.1 %d Status\r\n" % self.status)]
+        for name, value in self.headers:
+            parts += (name, b": ", value, b"\r\n")
+        if self.own_length is not None:
+            parts.append(b"content-length: %s\r\n" % self.own_length)
+        elif self.status not in (204, 304):
+            parts.append(b"content-length: %d\r\n" % len(self.body))
+        if not keep_alive:
+            parts.append(b"connection: close\r\n")
+        parts.append(b"\r\n")
+        if has_body:
+            parts.append(self.body)
+        return b"".join(parts)
+
+
+def refusal(
+    status: int, reason: str, *, retry_after_s: float | None = None, close: bool = False
+) -> CallerAnswer:
+    """Return an answer of this daemon's own.
+
+    Args:
+        status: 408, 421, 429 and 503 say that the request has not run and never will.
+        reason: What is wrong, for people.
+        retry_after_s: When the caller may come back, in seconds.
+        close: Whether the connection ends with it.
+    """
+    headers = [(b"content-type", b"text/plain")]
+    if retry_after_s is not None:
+        headers.append((b"retry-after", b"%.3f" % retry_after_s))
+    return CallerAnswer(status, headers, reason.encode("ascii"), close=close)
--- /dev/null
+++ b/src/crocusward/relay/_pipeline.py
@@ -0,0 +1,597 @@
+"""The way of one request: route, place, send, repeat, answer."""
+
+import asyncio
+from typing import Protocol
+
+from ..desired import CallerLimits, Directory, RouteRule
+from ..errors import NotSentError
+from ..logs import EventSampler, Level
+from ..metrics import LatencyRecorder
+from ..neighbours import Sighting, SightingKind
+from ..placing import (
+    BackendLoad,
+    Choice,
+    LoadBook,
+    Placer,
+    PlaceRequest,
+    QueuedRequest,
+    Refused,
+    RequestQueue,
+    RetryAllowance,
+    Verdict,
+    WeightedSplit,
+    WorkTimes,
+)
+from ..timing import TimerService
+from ._caller import DEFAULT_LIMITS
+from ._exchange import BackendLink, Exchange, ExchangeEnd
+from ._messages import CallerAnswer, CallerRequest, refusal
+
+START_RETRY_S = 0.5  # a daemon without a desired state normally has one by then
+# Times the expected time after which an idempotent request is sent a second time.
+HEDGE_FACTOR = 2.0
+HEDGE_MIN_S = 0.03
+HEDGE_RESERVE = 2.0  # repeats kept for failures
+PATIENCE_FACTOR = 2.0  # times the expected wait for a server of its own
+QUEUE_CHECK_S = 0.03  # catches room that no report announced
+LOSER_GRACE_S = 0.25  # the slower of two copies may end by itself within this time
+MIN_SEND_S = 0.01  # less time at a server is no use
+MEMORY_SHARE = 0.25  # of the host's memory may hold request bodies
+MB = 1 << 20
+
+
+class Announcer(Protocol):
+    """Tells neighbours of requests in flight and of what was seen."""
+
+    def announce(self, load: BackendLoad, seen: Sighting | None) -> None:
+        """Report a change at a backend server."""
+
+
+class _Call:
+    """State of one request under way."""
+
+    __slots__ = (
+        "req",
+        "place",
+        "tried",
+        "runs",
+        "unknown",
+        "last",
+        "began_s",
+        "waited_s",
+    )
+
+    def __init__(self, req: CallerRequest, place: PlaceRequest, began_s: float) -> None:
+        self.req = req
+        self.place = place
+        self.tried: set[str] = set()
+        self.runs = 0
+        self.unknown = False
+        self.last: CallerAnswer | None = None
+        self.began_s = began_s
+        self.waited_s = 0.0
+
+
+class Relay:
+    """Answers the requests of callers.
+
+    Args:
+        timer: Source of time.
+        directory: Desired state and backend servers.
+        book: Loads of the servers.
+        times: Learned times of work.
+        placer: Chooses servers.
+        retries: This host's share of the fleet's repeats.
+        link: Sends to servers.
+        announcer: Tells neighbours.
+        sampler: Logs decisions.
+        memory_mb: Memory of the host.
+    """
+
+    __slots__ = (
+        "limits",
+        "latencies",
+        "outcomes",
+        "_timer",
+        "_directory",
+        "_book",
+        "_times",
+        "_placer",
+        "_retries",
+        "_link",
+        "_announcer",
+        "_sampler",
+        "_split",
+        "_queues",
+        "_body_bytes",
+        "_body_limit",
+        "_losers",
+        "_checking",
+    )
+
+    def __init__(
+        self,
+        timer: TimerService,
+        directory: Directory,
+        book: LoadBook,
+        times: WorkTimes,
+        placer: Placer,
+        retries: RetryAllowance,
+        link: BackendLink,
+        announcer: Announcer,
+        sampler: EventSampler,
+        memory_mb: int,
+    ) -> None:
+        self.limits: CallerLimits = DEFAULT_LIMITS
+        self.latencies: dict[str, LatencyRecorder] = {}
+        self.outcomes: dict[tuple[str, str], int] = {}
+        self._timer = timer
+        self._directory = directory
+        self._book = book
+        self._times = times
+        self._placer = placer
+        self._retries = retries
+        self._link = link
+        self._announcer = announcer
+        self._sampler = sampler
+        self._split = WeightedSplit()
+        self._queues: dict[str, RequestQueue] = {}
+        self._body_bytes = 0
+        self._body_limit = int(memory_mb * MB * MEMORY_SHARE)
+        self._losers: set[asyncio.Task[None]] = set()
+        self._checking = False
+
+    # RequestHandler.
+
+    def takes_body(self, size: int) -> bool:
+        """Return whether there is memory for a part of a body, and count it."""
+        if self._body_bytes + size > self._body_limit:
+            return False
+        self._body_bytes += size
+        return True
+
+    def body_done(self, size: int) -> None:
+        """Return the memory of a body."""
+        self._body_bytes -= size
+
+    def may_overlap(self, req: CallerRequest) -> bool:
+        """Return whether a request may start before earlier ones are answered."""
+        state = self._directory.state
+        route = state.find_route(req.host, req.path) if state else None
+        return route is not None and route.idempotent
+
+    async def answer(self, req: CallerRequest) -> CallerAnswer:
+        """Answer one request of a caller."""
+        began_s = self._timer.now()
+        state = self._directory.state
+        if state is None or not self._directory.is_usable():
+            return self._own(req, "", "not_ready", 503, START_RETRY_S)
+        route = state.find_route(req.host, req.path)
+        if route is None:
+            return self._own(req, "", "no_route", 404, None)
+        if not req.id:
+            return self._own(req, route.name, "no_id", 400, None)
+        call = self._begin(req, route, began_s)
+        try:
+            answer = await self._serve(call)
+        except asyncio.CancelledError:
+            self._finish(call, "caller_left", 0)
+            raise
+        except Refused as exc:
+            answer = self._refuse(call, exc)
+        return answer
+
+    def _begin(self, req: CallerRequest, route: RouteRule, began_s: float) -> _Call:
+        service = self._split.pick(route)
+        self._retries.count_request(service, began_s)
+        limit_s = route.timeout_s
+        if req.time_left_s is not None:
+            limit_s = min(limit_s, req.time_left_s)
+        place = PlaceRequest(
+            req.id.decode("latin-1"),
+            route,
+            service,
+            objective_s=req.received_s + route.objective_s,
+            deadline_s=req.received_s + limit_s,
+            work_s=self._times.work_s(service, route.name, route.objective_s),
+        )
+        call = _Call(req, place, began_s)
+        place.excluded = call.tried
+        return call
+
+    # Attempts.
+
+    async def _serve(self, call: _Call) -> CallerAnswer:
+        running: dict[asyncio.Task[Exchange], Choice] = {}
+        try:
+            while True:
+                if not running:
+                    choice = await self._place(call)
+                    running[self._launch(call, choice)] = choice
+                done = await self._wait(call, running)
+                for task in done:
+                    del running[task]
+                    answer = self._judge(call, task.result(), bool(running))
+                    if answer is not None:
+                        return answer
+                if not done and self._now() >= call.place.deadline_s:
+                    return self._give_up(call)
+        finally:
+            self._release_losers(running)
+
+    async def _wait(
+        self, call: _Call, running: dict[asyncio.Task[Exchange], Choice]
+    ) -> "set[asyncio.Task[Exchange]]":
+        """Wait for an end; send a second copy if the first is late."""
+        now_s = self._now()
+        left_s = max(0.0, call.place.deadline_s - now_s)
+        hedge_s = self._hedge_delay_s(call, running)
+        if hedge_s is None or hedge_s >= left_s:
+            done, _ = await asyncio.wait(
+                running, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
+            )
+            return done
+        done, _ = await asyncio.wait(
+            running, timeout=hedge_s, return_when=asyncio.FIRST_COMPLETED
+        )
+        if not done:
+            choice = self._hedge(call)
+            if choice is not None:
+                running[self._launch(call, choice)] = choice
+            else:
+                done, _ = await asyncio.wait(
+                    running,
+                    timeout=max(0.0, call.place.deadline_s - self._now()),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+        return done
+
+    def _hedge_delay_s(
+        self, call: _Call, running: dict[asyncio.Task[Exchange], Choice]
+    ) -> float | None:
+        route = call.place.route
+        if not route.idempotent or len(running) > 1 or call.runs >= route.max_attempts:
+            return None
+        (choice,) = running.values()
+        return max(HEDGE_MIN_S, HEDGE_FACTOR * choice.expected_s)
+
+    def _hedge(self, call: _Call) -> Choice | None:
+        now_s = self._now()
+        service = call.place.service
+        if self._queues.get(service) or now_s + MIN_SEND_S > call.place.deadline_s:
+            return None
+        if self._retries.left(service, now_s) < 1.0 + HEDGE_RESERVE:
+            return None
+        try:
+            choice = self._placer.choose(call.place, now_s, may_wait=False)
+        except Refused:
+            return None
+        load = choice.load
+        if load is None or choice.in_flight >= 1.0:
+            return None
+        if not self._retries.take(service, now_s, HEDGE_RESERVE):
+            return None
+        return choice
+
+    async def _place(self, call: _Call) -> Choice:
+        """Return a server, after a wait if need be.
+
+        Raises:
+            Refused: No server can answer in time.
+        """
+        place = call.place
+        now_s = self._now()
+        if now_s + MIN_SEND_S >= place.deadline_s:
+            raise Refused("no time is left", 0.0, code="no_time")
+        queue = self._queues.setdefault(place.service, RequestQueue())
+        ahead = queue.ahead_of(place, now_s)
+        choice = self._placer.choose(place, now_s, ahead=ahead)
+        if choice.verdict is Verdict.PLACE:
+            return choice
+        fut: asyncio.Future[object] = asyncio.get_running_loop().create_future()
+        item = QueuedRequest(place, now_s, PATIENCE_FACTOR * choice.wait_s, fut)
+        queue.add(item)
+        self._check_later()
+        self._sampler.log(
+            "request_queued",
+            Level.DEBUG,
+            id=place.id,
+            service=place.service,
+            ahead=ahead,
+            wait_s=choice.wait_s,
+        )
+        try:
+            async with asyncio.timeout(max(0.0, place.deadline_s - now_s)):
+                found = await fut
+        except BaseException as exc:
+            _return_place(fut)
+            if isinstance(exc, TimeoutError):
+                raise Refused("waited in vain", 0.0, code="no_time")
+            raise
+        finally:
+            queue.discard(item)
+            call.waited_s += self._now() - now_s
+        assert isinstance(found, Choice)
+        return found
+
+    def room_changed(self, service: str) -> None:
+        """Place waiting requests of a service while there is room."""
+        queue = self._queues.get(service)
+        if not queue:
+            return
+        now_s = self._now()
+        for position, item in enumerate(queue.in_order(now_s)):
+            if item.fut.done():
+                queue.discard(item)
+                continue
+            waited_s = now_s - item.since_s
+            may_wait = waited_s < item.patience_s
+            try:
+                choice = self._placer.choose(
+                    item.req, now_s, ahead=0, may_wait=may_wait
+                )
+            except Refused as exc:
+                queue.discard(item)
+                item.fut.set_exception(exc)
+                continue
+            if choice.verdict is Verdict.PLACE and choice.load is not None:
+                queue.discard(item)
+                # Counted at once, so that the next in the queue sees it.
+                choice.load.begin(now_s)
+                choice.begun_s = now_s
+                item.fut.set_result(choice)
+            elif choice.free == 0 and position > 0:
+                break
+
+    def _check_later(self) -> None:
+        if not self._checking:
+            self._checking = True
+            self._timer.call_later(QUEUE_CHECK_S, self._check_queues)
+
+    def _check_queues(self) -> None:
+        self._checking = False
+        for service, queue in list(self._queues.items()):
+            if queue:
+                self.room_changed(service)
+        if any(self._queues.values()):
+            self._check_later()
+
+    def _launch(self, call: _Call, choice: Choice) -> "asyncio.Task[Exchange]":
+        load = choice.load
+        assert load is not None
+        now_s = self._now()
+        if choice.begun_s is None:
+            load.begin(now_s)
+            choice.begun_s = now_s
+        call.tried.add(load.entry.id)
+        call.runs += 1
+        self._announcer.announce(load, None)
+        self._sampler.log(
+            "request_placed",
+            Level.DEBUG,
+            id=call.place.id,
+            backend=load.entry.id,
+            in_flight=choice.in_flight,
+            expected_s=choice.expected_s,
+            attempt=call.runs,
+        )
+        task = asyncio.get_running_loop().create_task(self._exchange(call, load))
+        # Not in the task itself, which may be cancelled before its first step.
+        task.add_done_callback(lambda done: self._on_exchange_end(call, choice, done))
+        return task
+
+    async def _exchange(self, call: _Call, load: BackendLoad) -> Exchange:
+        route = call.place.route
+        left_s = call.place.deadline_s - self._now()
+
+        def check() -> None:
+            if not self._placer.is_allowed(load, route):
+                raise NotSentError("the server is out of service", code="withdrawn")
+
+        return await self._link.send(load, call.req, left_s, before_write=check)
+
+    def _on_exchange_end(
+        self, call: _Call, choice: Choice, task: "asyncio.Task[Exchange]"
+    ) -> None:
+        load = choice.load
+        begun_s = choice.begun_s
+        assert load is not None and begun_s is not None
+        load.end(begun_s)
+        load.idle_connections = self._link.idle_connections(load)
+        seen: Sighting | None = None
+        if not task.cancelled() and task.exception() is None:
+            result = task.result()
+            seen = result.seen
+            self._learn(call, choice, result, begun_s)
+            load.observe(seen, self._now())
+        self._announcer.announce(load, seen)
+        self.room_changed(call.place.service)
+
+    def _learn(
+        self, call: _Call, choice: Choice, result: Exchange, begun_s: float
+    ) -> None:
+        seen = result.seen
+        load = choice.load
+        assert load is not None
+        if seen.pace > 0.0:
+            self._times.observe_pace(call.place.service, seen.pace)
+        if not result.is_good or load.is_cold(begun_s):
+            return
+        now_s = self._now()
+        filled = choice.in_flight + 1.0 >= load.entry.slots
+        ratio = self._times.observe(
+            call.place.service,
+            call.place.route.name,
+            call.place.route.objective_s,
+            now_s - begun_s,
+            filled,
+        )
+        load.observe_time(ratio, now_s)
+
+    def _judge(
+        self, call: _Call, result: Exchange, others_run: bool
+    ) -> CallerAnswer | None:
+        """Return the answer to the caller, or None to go on."""
+        route = call.place.route
+        if result.end is ExchangeEnd.NOT_RUN:
+            call.runs -= 1
+            self._log_attempt(call, result)
+            if result.reason == "invalid_request":
+                return self._own(call.req, route.name, "bad_header", 400, None)
+            if others_run:
+                return None
+            if self._may_repeat(call, result):
+                return None
+            if call.unknown:
+                return self._fail(call, 502, result.reason)
+            raise Refused(result.reason, 0.0, code="no_repeats")
+        if result.end is ExchangeEnd.ANSWERED and (
+            result.is_good or not route.idempotent
+        ):
+            assert result.answer is not None
+            self._finish(call, "answered", result.answer.status, result.seen.backend)
+            return result.answer
+        # The request may have run.
+        call.unknown = True
+        call.last = result.answer or call.last
+        self._log_attempt(call, result)
+        if others_run:
+            return None
+        if (
+            route.idempotent
+            and call.runs < route.max_attempts
+            and self._now() + MIN_SEND_S < call.place.deadline_s
+            and self._retries.take(call.place.service, self._now())
+        ):
+            return None
+        return self._fail(call, 502, result.reason)
+
+    def _may_repeat(self, call: _Call, result: Exchange) -> bool:
+        now_s = self._now()
+        if now_s + MIN_SEND_S >= call.place.deadline_s:
+            return False
+        if result.seen.kind is SightingKind.UNREACHABLE or result.reason == "withdrawn":
+            return True  # nothing arrived at a server
+        return self._retries.take(call.place.service, now_s)
+
+    def _give_up(self, call: _Call) -> CallerAnswer:
+        """Answer at the end of the time; an attempt is still running."""
+        call.unknown = True
+        return self._fail(call, 504, "time is over")
+
+    def _fail(self, call: _Call, status: int, reason: str) -> CallerAnswer:
+        if call.last is not None:
+            self._finish(call, "backend_error", call.last.status)
+            return call.last
+        self._finish(call, reason, status)
+        return refusal(status, f"the request may have run: {reason}"[:200])
+
+    def _refuse(self, call: _Call, exc: Refused) -> CallerAnswer:
+        if call.unknown:
+            return self._fail(call, 504 if exc.code == "no_time" else 502, str(exc))
+        retry_after_s = max(0.05, exc.retry_after_s)
+        self._finish(call, exc.code, 503, reason=str(exc), retry_after_s=retry_after_s)
+        return refusal(503, f"not run: {exc}"[:200], retry_after_s=retry_after_s)
+
+    def _release_losers(self, running: "dict[asyncio.Task[Exchange], Choice]") -> None:
+        for task in running:
+            if task.done():
+                continue
+            current = asyncio.current_task()
+            if current is not None and current.cancelling():
+                task.cancel()
+                continue
+            loser = asyncio.get_running_loop().create_task(_end_soon(task))
+            self._losers.add(loser)
+            loser.add_done_callback(self._losers.discard)
+
+    # Logs and counts.
+
+    def _now(self) -> float:
+        return self._timer.now()
+
+    def _own(
+        self,
+        req: CallerRequest,
+        route: str,
+        outcome: str,
+        status: int,
+        retry_after_s: float | None,
+    ) -> CallerAnswer:
+        self._count(route, outcome)
+        self._sampler.log(
+            "request_refused",
+            id=req.id.decode("latin-1"),
+            route=route,
+            reason=outcome,
+            status=status,
+        )
+        return refusal(status, outcome, retry_after_s=retry_after_s)
+
+    def _count(self, route: str, outcome: str) -> None:
+        key = (route, outcome)
+        self.outcomes[key] = self.outcomes.get(key, 0) + 1
+
+    def _log_attempt(self, call: _Call, result: Exchange) -> None:
+        self._sampler.log(
+            "attempt_failed",
+            id=call.place.id,
+            backend=result.seen.backend,
+            end=result.end.value,
+            reason=result.reason,
+            attempt=call.runs,
+            age_s=self._now() - call.began_s,
+        )
+
+    def _finish(
+        self,
+        call: _Call,
+        outcome: str,
+        status: int,
+        backend: str = "",
+        *,
+        reason: str = "",
+        retry_after_s: float | None = None,
+    ) -> None:
+        now_s = self._now()
+        route = call.place.route
+        took_s = now_s - call.req.received_s
+        is_answer = outcome == "answered"
+        self._count(route.name, outcome)
+        if is_answer:
+            self.latencies.setdefault(route.name, LatencyRecorder()).record(took_s)
+        fields: dict[str, object] = {
+            "id": call.place.id,
+            "route": route.name,
+            "service": call.place.service,
+            "outcome": outcome,
+            "status": status,
+            "took_s": took_s,
+            "waited_s": call.waited_s,
+            "objective_s": route.objective_s,
+            "attempts": call.runs,
+            "version": self._directory.state.version if self._directory.state else 0,
+        }
+        if backend:
+            fields["backend"] = backend
+        if reason:
+            fields["reason"] = reason
+        if retry_after_s is not None:
+            fields["retry_after_s"] = retry_after_s
+        name = "request_answered" if is_answer else "request_failed"
+        self._sampler.log(name, Level.INFO, **fields)
+
+
+def _return_place(fut: "asyncio.Future[object]") -> None:
+    """Give back a place that was found for a request that no longer waits."""
+    if fut.done() and not fut.cancelled() and fut.exception() is None:
+        choice = fut.result()
+        if isinstance(choice, Choice) and choice.load and choice.begun_s is not None:
+            choice.load.end(choice.begun_s)
+
+
+async def _end_soon(task: "asyncio.Task[Exchange]") -> None:
+    """Let the slower copy of a request end, then cancel it."""
+    _, late = await asyncio.wait({task}, timeout=LOSER_GRACE_S)
+    for item in late:
+        item.cancel()
--- a/src/crocusward/upstream/_connection.py
+++ b/src/crocusward/upstream/_connection.py
@@ -1,6 +1,7 @@
 """One HTTP/1.1 client connection, with at most one exchange at a time."""
 
 import asyncio
+import math
 import socket
 from collections.abc import Callable
 from typing import cast
@@ -15,6 +16,8 @@
 PEEK_AFTER_IDLE_S = 0.2
 _NO_BODY_STATUSES = frozenset({204, 304})
 
+Headers = list[tuple[bytes, bytes]]
+
 
 class HttpAnswer(Record):
     """A complete HTTP answer.
@@ -48,12 +51,20 @@
     Attributes:
         closed: True once the connection can no longer be used.
         idle_since_s: Monotonic time of the end of the last exchange, in seconds.
+        idle_limit_s: Age of idleness from which it is not used again, in seconds.
+        idle_before_s: How long it was idle before the last exchange, in seconds.
+        exchanges: Exchanges that were begun.
+        foreign: Answers that were skipped because they belong to another request.
         on_closed: Called once when an open connection becomes closed.
     """
 
     __slots__ = (
         "closed",
         "idle_since_s",
+        "idle_limit_s",
+        "idle_before_s",
+        "exchanges",
+        "foreign",
         "on_closed",
         "_timer",
         "_loop",
@@ -76,6 +87,9 @@
         "_complete",
         "_has_length",
         "_keep_alive",
+        "_is_own",
+        "_is_foreign",
+        "_reads_to_end",
     )
 
     def __init__(
@@ -83,6 +97,10 @@
     ) -> None:
         self.closed = False
         self.idle_since_s = 0.0
+        self.idle_limit_s = math.inf
+        self.idle_before_s = 0.0
+        self.exchanges = 0
+        self.foreign = 0
         self.on_closed: Callable[[HttpConnection], object] | None = None
         self._timer = timer
         self._loop = asyncio.get_running_loop()
@@ -97,6 +115,8 @@
         self._is_head = False
         self._limit_bytes = 0
         self._status = 0
+        self._is_own: Callable[[int, Headers], bool] | None = None
+        self._reads_to_end = False
         self._reset_answer()
 
     def _reset_answer(self) -> None:
@@ -108,6 +128,7 @@
         self._complete = False
         self._has_length = False
         self._keep_alive = False
+        self._is_foreign = False
 
     # Use by the pool.
 
@@ -133,10 +154,28 @@
         return False
 
     async def exchange(
-        self, data: bytes, *, is_head: bool, timeout_s: float, limit_bytes: int
+        self,
+        data: bytes,
+        *,
+        is_head: bool,
+        timeout_s: float,
+        limit_bytes: int,
+        is_own: Callable[[int, Headers], bool] | None = None,
+        reads_to_end: bool = False,
     ) -> HttpAnswer:
         """Write one request and wait for its complete answer.
 
+        Args:
+            data: The encoded request.
+            is_head: Whether the answer has no body whatever its headers say.
+            timeout_s: Time limit, in seconds.
+            limit_bytes: Largest accepted body.
+            is_own: Tells from status and headers whether an answer belongs to this
+                request; others are skipped. A server may send a second answer to
+                an earlier request late.
+            reads_to_end: Accept a body without a length that ends with an orderly
+                close of the connection.
+
         Raises:
             ExchangeLostError: No complete answer came; the connection is closed.
         """
@@ -144,6 +183,9 @@
         assert transport is not None
         answer: asyncio.Future[HttpAnswer] = self._loop.create_future()
         self._answer = answer
+        self.exchanges += 1
+        self._is_own = is_own
+        self._reads_to_end = reads_to_end
         self._is_head = is_head
         self._limit_bytes = limit_bytes
         self._reset_answer()
@@ -190,8 +232,11 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
-            self._fail(f"malformed answer: {exc.__context__ or exc}")
-            return
+            if not self._complete or self._is_own is None:
+                self._fail(f"malformed answer: {exc.__context__ or exc}")
+                return
+            # The answer named its request and is whole; what follows is not.
+            self._keep_alive = False
         if self._complete:
             self._finish(data)
         elif self._body_bytes == before:
@@ -200,7 +245,11 @@
                 self._fail("the head of the answer is too large")
 
     def eof_received(self) -> bool:
-        """Treat the end of the stream as a closed connection."""
+        """Treat the end of the stream as the end of an answer without a length."""
+        if self._reads_to_end and self._head_complete and not self._has_length:
+            self._complete = True
+            self._keep_alive = False
+            self._finish(memoryview(b""))
         self._fail("the server closed the connection")
         return False
 
@@ -211,7 +260,7 @@
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
-        """Refuse a second answer to one request."""
+        """Refuse a second answer that follows the own one at once."""
         if self._complete:
             raise ValueError("more than one answer")
 
@@ -236,13 +285,24 @@
             return
         if status > 599:
             raise ValueError("the status is unknown")
+        if self._is_own is not None and not self._is_own(status, self._headers):
+            self._skip_foreign_answer()
+            return
         self._head_complete = True
         self._keep_alive = self._parser.should_keep_alive()
         if self._is_head:
             self._complete = True
         elif not self._has_length and status not in _NO_BODY_STATUSES:
             # A body that ends with the connection may have been cut.
-            raise ValueError("the answer has no length")
+            if not self._reads_to_end:
+                raise ValueError("the answer has no length")
+            self._keep_alive = False
+
+    def _skip_foreign_answer(self) -> None:
+        if not self._has_length and self._status not in _NO_BODY_STATUSES:
+            raise ValueError("an answer to another request has no length")
+        self.foreign += 1
+        self._is_foreign = True
 
     def _skip_interim_answer(self, status: int) -> None:
         if status == 101:
@@ -252,6 +312,8 @@
 
     def on_body(self, body: bytes) -> None:
         """Keep a part of the body within the limit."""
+        if self._is_foreign:
+            return
         if self._complete:
             raise ValueError("bytes after the end of the answer")
         self._body_bytes += len(body)
@@ -261,6 +323,9 @@
 
     def on_message_complete(self) -> None:
         """Mark the answer as complete."""
+        if self._is_foreign:
+            self._reset_answer()
+            return
         if self._head_complete:
             self._complete = True
 
--- a/src/crocusward/upstream/_pool.py
+++ b/src/crocusward/upstream/_pool.py
@@ -4,14 +4,15 @@
 import socket
 from collections.abc import Callable, Sequence
 
-from ..errors import NotSentError
+from ..errors import ExchangeLostError, NotSentError
 from ..timing import Subscription, TimerService
-from ._connection import HttpAnswer, HttpConnection
+from ._connection import Headers, HttpAnswer, HttpConnection
 from ._encode import encode_request
 
 DEFAULT_CONNECTIONS = 16
 DEFAULT_IDLE_S = 30.0
 READ_BYTES = 65_536
+IDLE_MARGIN = 0.8  # of the idle time that a server tells; it closes at the end of it
 CONNECT_TIMEOUT_S = 1.0  # the slowest path within a deployment has 12 ms one way
 
 
@@ -78,6 +79,10 @@
         limit_bytes: int,
         check: Callable[[HttpAnswer], object] | None = None,
         before_write: Callable[[], object] | None = None,
+        is_own: Callable[[int, Headers], bool] | None = None,
+        reads_to_end: bool = False,
+        max_idle_s: float | None = None,
+        host: bytes | None = None,
     ) -> HttpAnswer:
         """Send one request and return its complete answer.
 
@@ -94,14 +99,18 @@
                 connection is closed.
             before_write: Called immediately before the first byte is written; if
                 it raises, nothing is written.
+            is_own: See ``HttpConnection.exchange``.
+            reads_to_end: See ``HttpConnection.exchange``.
+            max_idle_s: Use no connection that was idle for longer, in seconds.
+            host: Value of the Host header, by default the address.
 
         Raises:
             NotSentError: Certainly no byte was written.
             ExchangeLostError: Bytes were written and no complete answer came.
         """
         slot = self._slot(address, port)
-        data = encode_request(method, path, slot.host, headers, body)
-        conn = self._take_idle(slot)
+        data = encode_request(method, path, host or slot.host, headers, body)
+        conn = self._take_idle(slot, max_idle_s)
         if conn is None:
             started_s = self._timer.now()
             conn = await self._connect(slot, address, port, timeout_s)
@@ -116,13 +125,18 @@
                 is_head=method == "HEAD",
                 timeout_s=timeout_s,
                 limit_bytes=limit_bytes,
+                is_own=is_own,
+                reads_to_end=reads_to_end,
             )
             if check is not None:
                 check(answer)
-        except BaseException:
+        except BaseException as exc:
             conn.abort()
+            if isinstance(exc, ExchangeLostError):
+                exc.reused = conn.exchanges > 1
+                exc.idle_s = conn.idle_before_s
             raise
-        self._release(slot, conn)
+        self._release(slot, conn, answer)
         return answer
 
     def set_limit(self, address: str, port: int, connections: int | None) -> None:
@@ -134,6 +148,17 @@
         slot = self._addresses.get((address, port))
         return slot.count if slot else 0
 
+    def idle_count(self, address: str, port: int) -> int:
+        """Return the number of unused open connections to an address."""
+        slot = self._addresses.get((address, port))
+        return len(slot.idle) if slot else 0
+
+    def drop_idle(self, address: str, port: int) -> None:
+        """Close the unused connections to an address."""
+        slot = self._addresses.get((address, port))
+        for conn in list(slot.idle) if slot else ():
+            conn.abort()
+
     def close(self) -> None:
         """Close idle connections and keep none from now on."""
         self._closed = True
@@ -153,20 +178,31 @@
     def _limit(self, slot: _Address) -> int:
         return self.connections if slot.limit is None else slot.limit
 
-    def _take_idle(self, slot: _Address) -> HttpConnection | None:
+    def _take_idle(
+        self, slot: _Address, max_idle_s: float | None
+    ) -> HttpConnection | None:
+        now_s = self._timer.now()
         while slot.idle:
             conn = slot.idle.pop()
-            if conn.is_usable():
+            idle_s = now_s - conn.idle_since_s
+            limit_s = conn.idle_limit_s if max_idle_s is None else max_idle_s
+            if idle_s > min(limit_s, conn.idle_limit_s):
+                conn.abort()
+            elif conn.is_usable():
+                conn.idle_before_s = idle_s
                 return conn
         return None
 
-    def _release(self, slot: _Address, conn: HttpConnection) -> None:
+    def _release(
+        self, slot: _Address, conn: HttpConnection, answer: HttpAnswer
+    ) -> None:
         if conn.closed:
             return
         if self._closed or slot.count > self._limit(slot) or not conn.may_be_reused():
             conn.abort()
             return
         conn.idle_since_s = self._timer.now()
+        conn.idle_limit_s = _idle_limit_s(answer) or self._idle_s
         slot.idle.append(conn)
 
     async def _connect(
@@ -222,10 +258,27 @@
         return conn
 
     def _close_idle(self) -> None:
-        oldest_s = self._timer.now() - self._idle_s
+        now_s = self._timer.now()
+        oldest_s = now_s - self._idle_s
         for key, slot in list(self._addresses.items()):
             for conn in list(slot.idle):
-                if conn.idle_since_s <= oldest_s or slot.count > self._limit(slot):
+                is_old = now_s - conn.idle_since_s > conn.idle_limit_s
+                if (
+                    is_old
+                    or conn.idle_since_s <= oldest_s
+                    or slot.count > self._limit(slot)
+                ):
                     conn.abort()
             if slot.count == 0 and slot.limit is None:
                 del self._addresses[key]
+
+
+def _idle_limit_s(answer: HttpAnswer) -> float | None:
+    """Return for how long the server keeps the connection, with a margin."""
+    for name, value in answer.headers:
+        if name == b"keep-alive":
+            for part in value.split(b","):
+                key, _, number = part.strip().partition(b"=")
+                if key.lower() == b"timeout" and number.isdigit():
+                    return IDLE_MARGIN * int(number)
+    return None
