Do not count the answered request as load; judge pace and timeouts by time

Change: subtract the answered request; treat the pace as time lost until it changes; learn the work of a route from timeouts too.

--- a/src/crocusward/neighbours/_messages.py
+++ b/src/crocusward/neighbours/_messages.py
@@ -14,7 +14,7 @@
     UNREACHABLE = 2  # no connection could be opened
     SILENT = 3  # no answer in time
     MISDIRECTED = 4  # another server has the address
-    REFUSED = 5  # the server did not run the request
+    REFUSED = 5  # says nothing of the health of the server
 
 
 class Sighting(Record):
--- a/src/crocusward/placing/_load.py
+++ b/src/crocusward/placing/_load.py
@@ -5,7 +5,7 @@
 from ..desired import BackendEntry
 from ..neighbours import Sighting, SightingKind
 
-PACE_MEMORY_S = 0.12  # the pace of shared machines changes about every 150 ms
+PACE_MEMORY_S = 0.15  # shared machines change their pace many times a second
 OTHERS_MEMORY_S = 0.3  # about the time of one request
 SLOWNESS_GAIN = 0.3  # weight of the newest answer
 SLOWNESS_HALF_LIFE_S = 4.0  # a slow server is tried again within seconds
@@ -133,7 +133,8 @@
     def observe(self, seen: Sighting, now_s: float) -> None:
         """Take over what this host or a neighbour learned."""
         if seen.running >= 0:
-            known = self.own + self._neighbour_sum
+            # The report counts the request that it answers, which has ended by now.
+            known = self.own + self._neighbour_sum + 1
             self._others = max(0.0, float(seen.running + seen.waiting - known))
             self._others_s = now_s
         if seen.pace > 0.0:
@@ -183,13 +184,17 @@
         kept = 0.5 ** ((now_s - self._slowness_s) / SLOWNESS_HALF_LIFE_S)
         return 1.0 + (self._slowness - 1.0) * kept
 
-    def pace(self, now_s: float, usual: float) -> float:
-        """Return the reported pace relative to ``usual``, ageing towards 1."""
-        age_s = now_s - self._pace_s
-        if age_s > 4.0 * PACE_MEMORY_S or usual <= 0.0:
-            return 1.0
-        kept = 0.5 ** (age_s / PACE_MEMORY_S)
-        return 1.0 + (self._pace / usual - 1.0) * kept
+    def pace_delay_s(self, now_s: float, usual_speed: float) -> float:
+        """Return the time lost because of the last reported pace; negative if gained.
+
+        Args:
+            now_s: Monotonic time.
+            usual_speed: Average of work done per time, 1.0 without neighbours.
+        """
+        left_s = PACE_MEMORY_S - (now_s - self._pace_s)
+        if left_s <= 0.0:
+            return 0.0
+        return left_s * (usual_speed - 1.0 / self._pace)
 
     def silent_for_s(self, now_s: float) -> float:
         """Return the age of the oldest request in flight of this host."""
--- a/src/crocusward/placing/_placer.py
+++ b/src/crocusward/placing/_placer.py
@@ -210,7 +210,7 @@
                 "the service is unknown", RETRY_AFTER_MAX_S, code="no_service"
             )
         sharing = self._times.sharing(req.service)
-        pace = self._times.usual_pace(req.service)
+        speed = self._times.usual_speed(req.service)
         best: BackendLoad | None = None
         best_score_s = best_time_s = 1e18
         best_count = 0.0
@@ -225,7 +225,7 @@
             if count + 1.0 > load.entry.slots or not self._bears(load, rule, now_s):
                 continue
             free += 1
-            time_s = self._time_s(load, req, count, sharing, pace, now_s)
+            time_s = self._time_s(load, req, count, sharing, speed, now_s)
             score_s = time_s + self._extra_s(load, req, count, sharing, now_s)
             if score_s < best_score_s:
                 best, best_score_s, best_time_s = load, score_s, time_s
@@ -274,10 +274,11 @@
         req: PlaceRequest,
         count: float,
         sharing: float,
-        pace: float,
+        speed: float,
         now_s: float,
     ) -> float:
-        time_s = req.work_s * load.slowness(now_s) * load.pace(now_s, pace)
+        time_s = req.work_s * load.slowness(now_s)
+        time_s = max(0.0, time_s + load.pace_delay_s(now_s, speed))
         if count + 1.0 >= load.entry.slots and load.entry.slots > 1:
             time_s *= sharing
         if load.is_cold(now_s):
--- a/src/crocusward/placing/_work.py
+++ b/src/crocusward/placing/_work.py
@@ -7,6 +7,7 @@
 START_SHARING = 1.3  # slowdown of a server with more than one request, until measured
 MAX_SHARING = 3.0
 MIN_SHARING_SAMPLES = 10
+TIMEOUT_BLAME = 2.5  # times the usual time of the route
 PACE_GAIN = 0.02
 
 
@@ -31,13 +32,13 @@
 class WorkTimes:
     """Learns work by route, the cost of sharing by service, and the usual pace."""
 
-    __slots__ = ("_work", "_alone", "_shared", "_pace")
+    __slots__ = ("_work", "_alone", "_shared", "_speed")
 
     def __init__(self) -> None:
         self._work: dict[tuple[str, str], _Mean] = {}
         self._alone: dict[str, _Mean] = {}
         self._shared: dict[str, _Mean] = {}
-        self._pace: dict[str, _Mean] = {}
+        self._speed: dict[str, _Mean] = {}
 
     def work_s(self, service: str, route: str, objective_s: float) -> float:
         """Return the usual time of a request on a server that it has to itself."""
@@ -52,15 +53,30 @@
             return START_SHARING
         return min(MAX_SHARING, max(1.0, shared.value / alone.value))
 
-    def usual_pace(self, service: str) -> float:
-        """Return the average pace that servers report, 0 if none does."""
-        mean = self._pace.get(service)
-        return mean.value if mean else 0.0
+    def usual_speed(self, service: str) -> float:
+        """Return the average work per time of the servers' machines."""
+        mean = self._speed.get(service)
+        return mean.value if mean else 1.0
 
     def observe_pace(self, service: str, pace: float) -> None:
-        """Add a reported pace."""
-        mean = self._pace.setdefault(service, _Mean(pace))
-        mean.value += PACE_GAIN * (pace - mean.value)
+        """Add a reported pace, the time that work takes relative to the usual."""
+        mean = self._speed.setdefault(service, _Mean(1.0 / pace))
+        mean.value += PACE_GAIN * (1.0 / pace - mean.value)
+
+    def observe_timeout(
+        self, service: str, route: str, objective_s: float, after_s: float
+    ) -> bool:
+        """Add a request that was not answered in time.
+
+        Returns:
+            Whether the route's requests usually take much less, so that the server is
+            to blame.
+        """
+        usual_s = self.work_s(service, route, objective_s)
+        if after_s > usual_s:
+            mean = self._work.setdefault((service, route), _Mean(usual_s))
+            mean.add(after_s)
+        return after_s > TIMEOUT_BLAME * usual_s
 
     def observe(
         self, service: str, route: str, objective_s: float, took_s: float, filled: bool
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -368,7 +368,6 @@
         self._announcer.announce(load, None)
         self._sampler.log(
             "request_placed",
-            Level.DEBUG,
             id=call.place.id,
             backend=load.entry.id,
             in_flight=choice.in_flight,
@@ -415,10 +414,17 @@
         assert load is not None
         if seen.pace > 0.0:
             self._times.observe_pace(call.place.service, seen.pace)
+        now_s = self._now()
+        if seen.kind is SightingKind.SILENT:
+            route = call.place.route
+            blamed = self._times.observe_timeout(
+                call.place.service, route.name, route.objective_s, now_s - begun_s
+            )
+            if not blamed:
+                seen.kind = SightingKind.REFUSED
         if not result.is_good or load.is_cold(begun_s):
             return
-        now_s = self._now()
-        filled = choice.in_flight + 1.0 >= load.entry.slots
+        filled = max(choice.in_flight + 1.0, seen.running) >= load.entry.slots
         ratio = self._times.observe(
             call.place.service,
             call.place.route.name,
@@ -449,7 +455,7 @@
             result.is_good or not route.idempotent
         ):
             assert result.answer is not None
-            self._finish(call, "answered", result.answer.status, result.seen.backend)
+            self._finish(call, "answered", result.answer.status, result.seen)
             return result.answer
         # The request may have run.
         call.unknown = True
@@ -548,7 +554,7 @@
         call: _Call,
         outcome: str,
         status: int,
-        backend: str = "",
+        seen: Sighting | None = None,
         *,
         reason: str = "",
         retry_after_s: float | None = None,
@@ -572,8 +578,11 @@
             "attempts": call.runs,
             "version": self._directory.state.version if self._directory.state else 0,
         }
-        if backend:
-            fields["backend"] = backend
+        if seen is not None:
+            fields["backend"] = seen.backend
+            fields["running"] = seen.running
+            fields["waiting"] = seen.waiting
+            fields["pace"] = seen.pace
         if reason:
             fields["reason"] = reason
         if retry_after_s is not None:
