--- a/src/crocusward/relay/_listener.py
+++ b/src/crocusward/relay/_listener.py
@@ -56,6 +56,11 @@
         for conn in list(self.connections):
             conn.check_times(now_s)
 
+    @property
+    def port(self) -> int:
+        """Port that is listened on, 0 before the start."""
+        return self._server.sockets[0].getsockname()[1] if self._server else 0
+
     @property
     def pending(self) -> int:
         """Requests that are not answered yet."""
--- /dev/null
+++ b/tests/entry_support.py
@@ -0,0 +1,146 @@
+"""Builders of desired states and backend servers, and a relay on loopback."""
+
+import asyncio
+import random
+
+from crocusward.desired import (
+    BackendEntry,
+    CallerLimits,
+    DesiredState,
+    Directory,
+    RouteRule,
+    ServiceRule,
+    WeightedService,
+)
+from crocusward.logs import EventSampler
+from crocusward.placing import LoadBook, Placer, RetryAllowance, WorkTimes
+from crocusward.relay import BackendLink, Listener, Relay
+from crocusward.timing import LoopTimer
+from crocusward.upstream import HttpPool
+
+from .raw_client import RawClient
+
+REGIONS = {"east-a": "east", "east-b": "east", "west-a": "west"}
+LIMITS = CallerLimits(4096, 20_000, 3.0, 15.0)
+DIGEST = b"crocusward-response-signature: d1"
+
+
+def route(name="look", prefix="/look/", **options):
+    options.setdefault("idempotent", True)
+    options.setdefault("timeout_s", 1.0)
+    options.setdefault("objective_s", 0.3)
+    options.setdefault("priority", 0)
+    options.setdefault("max_attempts", 2)
+    options.setdefault("parts", [WeightedService("svc", 1.0)])
+    return RouteRule(name, "api.example", prefix, **options)
+
+
+def desired(*routes, version=1, services=("svc",), cold_rate=3.0):
+    rules = {
+        name: ServiceRule(name, "/health", 100, 3.0, cold_rate) for name in services
+    }
+    return DesiredState(version, routes or [route()], rules, LIMITS)
+
+
+def backend(id="b1", data_centre="east-a", port=1, **options):
+    options.setdefault("slots", 2)
+    service = options.pop("service", "svc")
+    return BackendEntry(id, service, ("127.0.0.1", port), data_centre, **options)
+
+
+def directory(*backends, state=None):
+    found = Directory(REGIONS)
+    found.set_state(state or desired())
+    found.listed = True
+    for entry in backends:
+        found.set_backend(entry.id, entry)
+    return found
+
+
+class RecordingAnnouncer:
+    """Keeps what a relay tells its neighbours."""
+
+    def __init__(self):
+        self.seen = []
+
+    def announce(self, load, seen):
+        self.seen.append((load.entry.id, seen))
+
+
+class RelayOnLoopback:
+    """A relay with a listening socket in front of scripted backend servers."""
+
+    def __init__(self, *backends, state=None, reserve=100.0):
+        loop = asyncio.get_running_loop()
+        self.timer = LoopTimer(loop, random.Random(1))
+        self.directory = Directory(REGIONS)
+        self.book = LoadBook(self.directory, self.timer.now, lambda: 0.0)
+        self.directory.set_state(state or desired())
+        self.directory.listed = True
+        for entry in backends:
+            self.directory.set_backend(entry.id, entry)
+        times = WorkTimes()
+        self.retries = RetryAllowance(0.2, reserve, 10.0)
+        self.announcer = RecordingAnnouncer()
+        self.pool = HttpPool(self.timer, connections=8, connect_timeout_s=0.3)
+        placer = Placer(
+            self.directory, self.book, times, "east-a", "east", random.Random(1)
+        )
+        self.relay = Relay(
+            self.timer,
+            self.directory,
+            self.book,
+            times,
+            placer,
+            self.retries,
+            BackendLink(self.pool),
+            self.announcer,
+            EventSampler(self.timer.now, 0),
+            100,
+        )
+        self.relay.limits = self.directory.state.limits
+        self.listener = Listener(self.relay, self.timer)
+        self.port = 0
+
+    async def __aenter__(self):
+        await self.listener.start("127.0.0.1", 0)
+        self.port = self.listener.port
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self.listener.close()
+        self.pool.close()
+        await asyncio.sleep(0)
+
+    async def client(self):
+        return EntryClient(await RawClient.connect(self.port))
+
+
+class EntryClient:
+    """A caller's connection."""
+
+    def __init__(self, raw):
+        self.raw = raw
+        self._count = 0
+
+    def send(self, method="GET", path="/look/x", *headers, body=b"", id=None):
+        self._count += 1
+        id = id or f"q{self._count}"
+        lines = [f"{method} {path} HTTP/1.1".encode(), b"Host: api.example"]
+        lines.append(b"Crocusward-Request-Id: " + id.encode())
+        lines += headers
+        if body:
+            lines.append(b"Content-Length: %d" % len(body))
+        self.raw.send(b"\r\n".join(lines) + b"\r\n\r\n" + body)
+
+    async def ask(self, *args, **options):
+        self.send(*args, **options)
+        return await self.raw.read()
+
+
+def reply(id, body=b"body", status=b"200 OK", *headers):
+    """Return an answer of a backend server that names its request."""
+    lines = [b"HTTP/1.1 " + status, b"Crocusward-Request-Id: " + id.encode(), DIGEST]
+    lines += headers
+    lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
--- /dev/null
+++ b/tests/test_neighbours.py
@@ -0,0 +1,138 @@
+"""Messages between daemons and the choice of the one that reads the store."""
+
+import unittest
+
+import cbor2
+
+from crocusward.neighbours import (
+    Hello,
+    HostReport,
+    Introduction,
+    KnownHost,
+    MessageError,
+    NeighbourTable,
+    Sighting,
+    SightingKind,
+    decode_message,
+    encode_message,
+)
+
+
+def report(host, seq=1, *, age_s=0.1, incarnation=1, **options):
+    return HostReport(
+        host,
+        incarnation,
+        "east-a",
+        seq,
+        store_age_s=age_s,
+        versions=options.pop("versions", {"op": 3}),
+        **options,
+    )
+
+
+class CodecTest(unittest.TestCase):
+    def test_round_trip(self):
+        """Guards against fields that change on the way."""
+        seen = [Sighting("b1", SightingKind.FAILED, 2, 1, 5.0, 0.5)]
+        messages = [
+            report("h1", in_flight={"b1": 2}, sightings=seen, complete=True),
+            Hello("h1", "10.0.0.1", "east-a"),
+            Introduction([KnownHost("h1", "10.0.0.1", "east-a")]),
+        ]
+        for message in messages:
+            self.assertEqual(decode_message(encode_message(message)), message)
+
+    def test_malformed_datagrams_are_rejected(self):
+        """Guards against a datagram that ends the daemon."""
+        bad = [
+            b"",
+            b"\xff\xff",
+            cbor2.dumps(7),
+            cbor2.dumps([]),
+            cbor2.dumps([9]),
+            cbor2.dumps([1, 2, 3, 4]),
+            cbor2.dumps([2, [["a"]]]),
+            cbor2.dumps([3, "h"]),
+            cbor2.dumps([3, "h", 1, "d", 1, 0.0, {"op": "x"}, 0, 0, {}, {}, []]),
+            cbor2.dumps([3, "h", 1, "d", 1, 0.0, {}, 0, 0, {"b": -1}, {}, []]),
+            cbor2.dumps([3, "h", 1, "d", 1, 0.0, {}, 0, 0, {}, {}, [["b", 99]]]),
+        ]
+        for data in bad:
+            with self.subTest(data), self.assertRaises(MessageError):
+                decode_message(data)
+
+
+class ReportOrderTest(unittest.TestCase):
+    def test_older_report_is_dropped(self):
+        """Guards against a late datagram that undoes a newer one."""
+        table = NeighbourTable("h1")
+        self.assertIsNotNone(table.take(report("h2", 5), "a", 0.0))
+        self.assertIsNone(table.take(report("h2", 4), "a", 0.1))
+
+    def test_restart_begins_anew(self):
+        """Guards against ignoring a neighbour after its restart."""
+        table = NeighbourTable("h1")
+        table.take(report("h2", 50), "a", 0.0)
+        self.assertIsNotNone(table.take(report("h2", 1, incarnation=2), "a", 0.1))
+        self.assertIsNone(table.take(report("h2", 51), "a", 0.2))
+
+    def test_lower_incarnation_after_silence_is_taken(self):
+        """Guards against a clock that was set back before a restart."""
+        table = NeighbourTable("h1")
+        table.take(report("h2", 5, incarnation=9), "a", 0.0)
+        self.assertIsNone(table.take(report("h2", 1, incarnation=8), "a", 0.5))
+        self.assertIsNotNone(table.take(report("h2", 2, incarnation=8), "a", 2.0))
+
+
+class ReaderTest(unittest.TestCase):
+    def reads(self, table, now_s, own_s=-1e9):
+        return table.is_reader(now_s, own_s)
+
+    def test_first_in_rank_reads(self):
+        """Guards against a data centre without a reader."""
+        self.assertTrue(self.reads(NeighbourTable("h1"), 0.0))
+        table = NeighbourTable("h1")
+        table.take(report("h2"), "a", 0.0)
+        self.assertTrue(self.reads(table, 0.0))
+
+    def test_others_rest_while_the_first_reads(self):
+        """Guards against every host calling the store."""
+        table = NeighbourTable("h2")
+        table.take(report("h1"), "a", 0.0)
+        self.assertFalse(self.reads(table, 0.5))
+
+    def test_silent_reader_is_replaced(self):
+        """Guards against changes that are missed because the reader froze."""
+        table = NeighbourTable("h2")
+        table.take(report("h1"), "a", 0.0)
+        self.assertTrue(self.reads(table, 1.1))
+
+    def test_reader_that_lost_the_store_is_replaced(self):
+        """Guards against changes that are missed because the reader was cut off."""
+        table = NeighbourTable("h2")
+        for step in range(12):
+            now_s = 0.25 * step
+            table.take(report("h1", step, age_s=0.1 + now_s), "a", now_s)
+            if now_s < 0.9:
+                self.assertFalse(self.reads(table, now_s), now_s)
+        self.assertTrue(self.reads(table, 1.6))
+
+    def test_next_in_rank_waits_for_the_one_before(self):
+        """Guards against all hosts reading at once after a loss."""
+        second = NeighbourTable("h2")
+        third = NeighbourTable("h3")
+        for step in range(8):
+            now_s = 0.2 * step
+            for table in (second, third):
+                table.take(report("h1", step, age_s=now_s), "a", now_s)
+            third.take(report("h2", step, age_s=now_s), "a", now_s)
+        self.assertTrue(self.reads(second, 1.3))
+        self.assertFalse(self.reads(third, 1.3))
+
+    def test_newest_rows_are_found(self):
+        """Guards against asking a neighbour that has nothing new."""
+        table = NeighbourTable("h1")
+        table.take(report("h2", versions={"op": 3}), "a", 0.0)
+        table.take(report("h3", versions={"op": 5}), "b", 0.0)
+        self.assertEqual(table.source_of("op", 4, 0.1).host, "h3")
+        self.assertIsNone(table.source_of("op", 5, 0.1))
