Ask a host of the other data centre for a place at a backend server there

Cause: of the requests that must run in the other region, 44 of 150 met another one at their server, since hosts only see the loads of their own data centre. Change: a datagram asks a host there, which keeps a place and names it; without an answer in time the own choice stands.

--- a/src/crocusward/desired/_types.py
+++ b/src/crocusward/desired/_types.py
@@ -281,7 +281,7 @@
         limits: Bounds of what a caller may send.
     """
 
-    __slots__ = ("version", "routes", "services", "limits")
+    __slots__ = ("version", "routes", "services", "limits", "_by_name")
 
     def __init__(
         self,
@@ -292,6 +292,7 @@
     ) -> None:
         self.version = version
         self.routes: dict[str, list[RouteRule]] = {}
+        self._by_name = {route.name: route for route in routes}
         for route in sorted(routes, key=lambda item: -len(item.prefix)):
             self.routes.setdefault(route.host, []).append(route)
         self.services = dict(services)
@@ -304,6 +305,10 @@
                 return route
         return None
 
+    def route_named(self, name: str) -> RouteRule | None:
+        """Return a route by its name."""
+        return self._by_name.get(name)
+
 
 class BackendEntry(Record):
     """A backend server as it registered itself.
--- a/src/crocusward/entryd/_hub.py
+++ b/src/crocusward/entryd/_hub.py
@@ -1,6 +1,7 @@
 """Talks to the daemons of the data centre."""
 
 import asyncio
+import random
 from collections.abc import Callable
 
 from ..desired import HostFacts
@@ -12,15 +13,22 @@
     KnownHost,
     NeighbourEndpoint,
     NeighbourTable,
+    PlaceAsk,
+    PlaceOffer,
     Sighting,
 )
-from ..placing import BackendLoad, LoadBook
+from ..placing import BackendLoad, LoadBook, PlaceRequest
 from ..platform import ListedDaemon
 from ..timing import Subscription, TimerService
 
 REPORT_PERIOD_S = 0.25  # three missed ones are silence
 REPORTS_PER_S = 120.0  # that one host sends; a large data centre reports less often
 MAX_REPORT_PERIOD_S = 0.45
+ASK_FIRST_S = 0.1  # until the time of an answer is known
+ASK_MARGIN_S = 0.02  # for a busy host
+ASK_FACTOR = 1.5  # times the usual time of an answer
+ASK_PAUSE_S = 2.0  # for which a host that did not answer is not asked
+ASK_GAIN = 0.1
 HELLO_PERIOD_S = 1.0
 HELLO_ROUNDS = 5
 
@@ -32,6 +40,7 @@
         facts: What the settings say.
         incarnation: Start of this daemon, Unix time in milliseconds.
         timer: Source of time.
+        rng: Chooses whom to ask.
         book: Loads of the backend servers.
         peers: The neighbours.
         sampler: Logs malformed datagrams.
@@ -39,12 +48,14 @@
         store_age_s: Returns the time since the last answer of the store.
         on_room: Called with services that may have room.
         on_report: Called after each report.
+        offer: Keeps a place at a backend server here for another data centre.
     """
 
     __slots__ = (
         "leaving",
         "waiting",
         "_facts",
+        "_rng",
         "_incarnation",
         "_timer",
         "_book",
@@ -54,6 +65,11 @@
         "_store_age_s",
         "_on_room",
         "_on_report",
+        "_offer",
+        "_asked",
+        "_ask_s",
+        "_unasked_until_s",
+        "_token",
         "_hosts",
         "_seq",
         "_dirty",
@@ -69,6 +85,7 @@
         facts: HostFacts,
         incarnation: int,
         timer: TimerService,
+        rng: random.Random,
         book: LoadBook,
         peers: NeighbourTable,
         sampler: EventSampler,
@@ -76,9 +93,11 @@
         store_age_s: Callable[[], float],
         on_room: Callable[[str], None],
         on_report: Callable[[], None],
+        offer: Callable[[str, str, float], str],
     ) -> None:
         self.leaving = False
         self._facts = facts
+        self._rng = rng
         self._incarnation = incarnation
         self._timer = timer
         self._book = book
@@ -88,6 +107,11 @@
         self._store_age_s = store_age_s
         self._on_room = on_room
         self._on_report = on_report
+        self._offer = offer
+        self._asked: dict[int, asyncio.Future[str]] = {}
+        self._ask_s: dict[str, float] = {}
+        self._unasked_until_s: dict[str, float] = {}
+        self._token = 0
         self._hosts: dict[str, KnownHost] = {
             facts.name: KnownHost(facts.name, facts.address, facts.data_centre)
         }
@@ -156,7 +180,9 @@
     # Messages.
 
     def _on_message(
-        self, message: Hello | Introduction | HostReport, sender: str
+        self,
+        message: Hello | Introduction | HostReport | PlaceAsk | PlaceOffer,
+        sender: str,
     ) -> None:
         if isinstance(message, HostReport):
             self._take_report(message, sender)
@@ -164,6 +190,13 @@
             self._add(KnownHost(message.host, sender, message.data_centre))
             hosts = list(self._hosts.values())
             self._endpoint.send(Introduction(hosts), [sender])
+        elif isinstance(message, PlaceAsk):
+            found = self._offer(message.service, message.route, message.work_s)
+            self._endpoint.send(PlaceOffer(message.token, found), [sender])
+        elif isinstance(message, PlaceOffer):
+            fut = self._asked.get(message.token)
+            if fut is not None and not fut.done():
+                fut.set_result(message.backend)
         else:
             for host in message.hosts:
                 if host.host not in self._hosts:
@@ -184,6 +217,43 @@
             self._on_room(service)
         self._on_report()
 
+    # Places in other data centres.
+
+    async def ask(self, place: PlaceRequest, data_centre: str) -> str:
+        """Ask a host of another data centre for a place at a server there.
+
+        Returns:
+            The id of the server, or "" if there is none or no answer came in time.
+        """
+        now_s = self._timer.now()
+        hosts = [
+            host
+            for host in self._hosts.values()
+            if host.data_centre == data_centre
+            and self._unasked_until_s.get(host.host, -1.0) < now_s
+        ]
+        if not hosts:
+            return ""
+        host = self._rng.choice(hosts)
+        self._token += 1
+        token = self._token
+        fut: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+        self._asked[token] = fut
+        ask = PlaceAsk(token, place.service, place.route.name, place.work_s)
+        self._endpoint.send(ask, [host.address])
+        usual_s = self._ask_s.get(data_centre, ASK_FIRST_S)
+        try:
+            async with asyncio.timeout(ASK_FACTOR * usual_s + ASK_MARGIN_S):
+                found = await fut
+        except TimeoutError:
+            self._unasked_until_s[host.host] = now_s + ASK_PAUSE_S
+            return ""
+        finally:
+            del self._asked[token]
+        took_s = self._timer.now() - now_s
+        self._ask_s[data_centre] = usual_s + ASK_GAIN * (took_s - usual_s)
+        return found
+
     # Reports.
 
     def announce(self, load: BackendLoad, seen: Sighting | None) -> None:
--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -129,6 +129,7 @@
             facts,
             time.time_ns() // 1_000_000,
             self.timer,
+            self._rng,
             self.book,
             self.peers,
             self.sampler,
@@ -136,6 +137,7 @@
             lambda: self.timer.now() - self._answered_s(),
             lambda service: self.relay.room_changed(service),
             lambda: self.rows.check(),
+            lambda *ask: self.relay.offer(*ask),
         )
         times = WorkTimes()
         bounds = facts.bounds
@@ -160,6 +162,7 @@
             self.hub,
             self.sampler,
             facts.limits.memory_mb,
+            facts.data_centre,
         )
         control = _ControlHandler(self)
         self.callers = Listener(self.relay, self.timer)
--- a/src/crocusward/neighbours/__init__.py
+++ b/src/crocusward/neighbours/__init__.py
@@ -7,6 +7,8 @@
     HostReport,
     Introduction,
     KnownHost,
+    PlaceAsk,
+    PlaceOffer,
     Sighting,
     SightingKind,
 )
@@ -21,6 +23,8 @@
     "Neighbour",
     "NeighbourEndpoint",
     "NeighbourTable",
+    "PlaceAsk",
+    "PlaceOffer",
     "Sighting",
     "SightingKind",
     "decode_message",
--- a/src/crocusward/neighbours/_codec.py
+++ b/src/crocusward/neighbours/_codec.py
@@ -10,6 +10,8 @@
     HostReport,
     Introduction,
     KnownHost,
+    PlaceAsk,
+    PlaceOffer,
     Sighting,
     SightingKind,
 )
@@ -17,8 +19,11 @@
 HELLO = 1
 INTRODUCTION = 2
 REPORT = 3
+MS_PER_S = 1000.0
+ASK = 4
+OFFER = 5
 
-Message = Hello | Introduction | HostReport
+Message = Hello | Introduction | HostReport | PlaceAsk | PlaceOffer
 
 
 class MessageError(CrocusError):
@@ -33,6 +38,13 @@
         return cbor2.dumps(_report_fields(message))
     if isinstance(message, Hello):
         return cbor2.dumps([HELLO, message.host, message.address, message.data_centre])
+    if isinstance(message, PlaceAsk):
+        work_ms = int(message.work_s * MS_PER_S)
+        return cbor2.dumps(
+            [ASK, message.token, message.service, message.route, work_ms]
+        )
+    if isinstance(message, PlaceOffer):
+        return cbor2.dumps([OFFER, message.token, message.backend])
     hosts = [[item.host, item.address, item.data_centre] for item in message.hosts]
     return cbor2.dumps([INTRODUCTION, hosts])
 
@@ -71,6 +83,14 @@
             return _decode_report(fields)
         if kind == HELLO:
             return Hello(*_texts(fields[1:4]))
+        if kind == ASK:
+            _, token, service, route, work_ms = fields
+            _texts([service, route, ""])
+            return PlaceAsk(int(token), service, route, int(work_ms) / MS_PER_S)
+        if kind == OFFER:
+            _, token, backend = fields
+            _texts([backend, "", ""])
+            return PlaceOffer(int(token), backend)
         if kind == INTRODUCTION:
             return Introduction([KnownHost(*_texts(item)) for item in fields[1]])
     except (
--- a/src/crocusward/neighbours/_messages.py
+++ b/src/crocusward/neighbours/_messages.py
@@ -141,6 +141,40 @@
         self.data_centre = data_centre
 
 
+class PlaceAsk(Record):
+    """Asks a host of another data centre for a place at a backend server there.
+
+    Attributes:
+        token: Number of the question at the sender.
+        service: Name of the service.
+        route: Name of the route, which may restrict regions.
+        work_s: Expected time of the request.
+    """
+
+    __slots__ = ("token", "service", "route", "work_s")
+
+    def __init__(self, token: int, service: str, route: str, work_s: float) -> None:
+        self.token = token
+        self.service = service
+        self.route = route
+        self.work_s = work_s
+
+
+class PlaceOffer(Record):
+    """Answers a PlaceAsk.
+
+    Attributes:
+        token: Number of the question.
+        backend: Id of the server at which a place is kept, "" if there is none.
+    """
+
+    __slots__ = ("token", "backend")
+
+    def __init__(self, token: int, backend: str) -> None:
+        self.token = token
+        self.backend = backend
+
+
 class Introduction(Record):
     """Answers a Hello.
 
--- a/src/crocusward/placing/_load.py
+++ b/src/crocusward/placing/_load.py
@@ -86,9 +86,13 @@
 
     def begin(self, now_s: float) -> None:
         """Count a request that this host sends."""
+        self.keep_place(now_s)
+        self.sent_s.append(now_s)
+
+    def keep_place(self, now_s: float) -> None:
+        """Count a request that another host is about to send; ``end`` it later."""
         self.own += 1
         self.tried = True
-        self.sent_s.append(now_s)
         self._count_send(now_s)
 
     def end(self, sent_s: float) -> None:
--- a/src/crocusward/placing/_placer.py
+++ b/src/crocusward/placing/_placer.py
@@ -191,6 +191,7 @@
         *,
         ahead: int = 0,
         may_wait: bool = True,
+        near: bool = False,
     ) -> Choice:
         """Decide on a request.
 
@@ -199,6 +200,7 @@
             now_s: Monotonic time.
             ahead: Waiting requests that go before it.
             may_wait: Whether it may go on waiting for a server of its own.
+            near: Consider only servers of this region.
 
         Raises:
             Refused: No server can answer it in time.
@@ -220,6 +222,8 @@
                 continue
             if not self._is_open(load, req, now_s):
                 continue
+            if near and load.region != self._region:
+                continue
             usable += 1
             count = load.in_flight(now_s)
             if count + 1.0 > load.entry.slots or not self._bears(load, rule, now_s):
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -35,6 +35,7 @@
 PATIENCE_FACTOR = 2.0  # times the expected wait for a server of its own
 QUEUE_CHECK_S = 0.03  # catches room that no report announced
 LOSER_GRACE_S = 0.25  # the slower of two copies may end by itself within this time
+KEEP_FACTOR = 1.2  # times the expected time for which a place of another host counts
 MIN_SEND_S = 0.01  # less time at a server is no use
 MEMORY_SHARE = 0.25  # of the host's memory may hold request bodies
 MB = 1 << 20
@@ -46,6 +47,9 @@
     def announce(self, load: BackendLoad, seen: Sighting | None) -> None:
         """Report a change at a backend server."""
 
+    async def ask(self, place: PlaceRequest, data_centre: str) -> str:
+        """Ask a host of another data centre; return a backend server or ""."""
+
 
 class _Call:
     """State of one request under way."""
@@ -86,6 +90,7 @@
         announcer: Tells neighbours.
         sampler: Logs decisions.
         memory_mb: Memory of the host.
+        data_centre: Data centre of the host.
     """
 
     __slots__ = (
@@ -101,6 +106,7 @@
         "_link",
         "_announcer",
         "_sampler",
+        "_data_centre",
         "_split",
         "_queues",
         "_body_bytes",
@@ -121,6 +127,7 @@
         announcer: Announcer,
         sampler: EventSampler,
         memory_mb: int,
+        data_centre: str,
     ) -> None:
         self.limits: CallerLimits = DEFAULT_LIMITS
         self.latencies: dict[str, LatencyRecorder] = {}
@@ -134,6 +141,7 @@
         self._link = link
         self._announcer = announcer
         self._sampler = sampler
+        self._data_centre = data_centre
         self._split = WeightedSplit()
         self._queues: dict[str, RequestQueue] = {}
         self._body_bytes = 0
@@ -287,7 +295,7 @@
         ahead = queue.ahead_of(place, now_s)
         choice = self._placer.choose(place, now_s, ahead=ahead)
         if choice.verdict is Verdict.PLACE:
-            return choice
+            return await self._confirm_remote(call, choice)
         fut: asyncio.Future[object] = asyncio.get_running_loop().create_future()
         item = QueuedRequest(place, now_s, PATIENCE_FACTOR * choice.wait_s, fut)
         queue.add(item)
@@ -314,6 +322,58 @@
         assert isinstance(found, Choice)
         return found
 
+    async def _confirm_remote(self, call: _Call, choice: Choice) -> Choice:
+        """Let a host of the other data centre choose; it knows the loads there."""
+        load = choice.load
+        assert load is not None
+        data_centre = load.entry.data_centre
+        if data_centre == self._data_centre:
+            return choice
+        id = await self._announcer.ask(call.place, data_centre)
+        found = self._book.loads.get(id)
+        if found is None or id in call.tried:
+            return choice
+        if self._placer.is_allowed(found, call.place.route):
+            choice.load = found
+        return choice
+
+    def offer(self, service: str, route_name: str, work_s: float) -> str:
+        """Keep a place for a host of another data centre.
+
+        Returns:
+            The id of the backend server, or "" if none has room.
+        """
+        now_s = self._now()
+        state = self._directory.state
+        route = state.route_named(route_name) if state else None
+        if route is None or self._queues.get(service):
+            return ""
+        place = PlaceRequest(
+            "",
+            route,
+            service,
+            objective_s=now_s + route.objective_s,
+            deadline_s=now_s + route.timeout_s,
+            work_s=work_s,
+        )
+        try:
+            choice = self._placer.choose(place, now_s, may_wait=False, near=True)
+        except Refused:
+            return ""
+        load = choice.load
+        if load is None:
+            return ""
+        load.keep_place(now_s)
+        kept_s = KEEP_FACTOR * max(work_s, choice.expected_s)
+        self._timer.call_later(kept_s, lambda: self._end_offer(load, now_s))
+        self._announcer.announce(load, None)
+        return load.entry.id
+
+    def _end_offer(self, load: BackendLoad, now_s: float) -> None:
+        load.end(now_s)
+        self._announcer.announce(load, None)
+        self.room_changed(load.entry.service)
+
     def room_changed(self, service: str) -> None:
         """Place waiting requests of a service while there is room."""
         queue = self._queues.get(service)
--- a/tests/entry_support.py
+++ b/tests/entry_support.py
@@ -66,6 +66,9 @@
     def announce(self, load, seen):
         self.seen.append((load.entry.id, seen))
 
+    async def ask(self, place, data_centre):
+        return ""
+
 
 class RelayOnLoopback:
     """A relay with a listening socket in front of scripted backend servers."""
@@ -97,6 +100,7 @@
             self.announcer,
             EventSampler(self.timer.now, 0),
             100,
+            "east-a",
         )
         self.relay.limits = self.directory.state.limits
         self.listener = Listener(self.relay, self.timer)
