Wait for a server of one's own; send second copies only beside idle servers

Change: the wait ends when sharing would have cost less; second copies need a share of idle servers; a server that answers others is not suspect.

--- a/src/crocusward/entryd/_hub.py
+++ b/src/crocusward/entryd/_hub.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from ..desired import HostFacts
-from ..logs import EventSampler, log_event
+from ..logs import EventSampler, Level, log_event
 from ..neighbours import (
     Hello,
     HostReport,
@@ -55,6 +55,7 @@
         "leaving",
         "waiting",
         "_facts",
+        "_sampler",
         "_rng",
         "_incarnation",
         "_timer",
@@ -97,6 +98,7 @@
     ) -> None:
         self.leaving = False
         self._facts = facts
+        self._sampler = sampler
         self._rng = rng
         self._incarnation = incarnation
         self._timer = timer
@@ -247,11 +249,22 @@
                 found = await fut
         except TimeoutError:
             self._unasked_until_s[host.host] = now_s + ASK_PAUSE_S
+            self._sampler.log(
+                "place_ask_unanswered", id=place.id, host=host.host, usual_s=usual_s
+            )
             return ""
         finally:
             del self._asked[token]
         took_s = self._timer.now() - now_s
         self._ask_s[data_centre] = usual_s + ASK_GAIN * (took_s - usual_s)
+        self._sampler.log(
+            "place_asked",
+            Level.INFO,
+            id=place.id,
+            host=host.host,
+            backend=found,
+            took_s=took_s,
+        )
         return found
 
     # Reports.
--- a/src/crocusward/placing/_load.py
+++ b/src/crocusward/placing/_load.py
@@ -56,6 +56,7 @@
         "_blame",
         "_blame_s",
         "_closings",
+        "_answered_s",
         "_recent",
     )
 
@@ -80,6 +81,7 @@
         self._blame = 0.0
         self._blame_s = 0.0
         self._closings = 0
+        self._answered_s = -1e9
         self._recent: deque[float] = deque()
 
     # Requests in flight.
@@ -148,6 +150,7 @@
             self.cold_until_s = now_s + seen.cold_left_s
         kind = seen.kind
         if kind is SightingKind.ANSWERED:
+            self._answered_s = now_s
             self._blame = self.blame(now_s) * BLAME_ON_SUCCESS
             self._blame_s = now_s
             self._closings = 0
@@ -201,8 +204,14 @@
         return left_s * (usual_speed - 1.0 / self._pace)
 
     def silent_for_s(self, now_s: float) -> float:
-        """Return the age of the oldest request in flight of this host."""
-        return now_s - self.sent_s[0] if self.sent_s else 0.0
+        """Return for how long a request of this host has seen no sign of life.
+
+        A server that has answered another request since then works; the request is
+        merely a long one.
+        """
+        if not self.sent_s or self._answered_s > self.sent_s[0]:
+            return 0.0
+        return now_s - self.sent_s[0]
 
     def is_cold(self, now_s: float) -> bool:
         """Return True while the server bears little."""
--- a/src/crocusward/placing/_placer.py
+++ b/src/crocusward/placing/_placer.py
@@ -11,10 +11,11 @@
 from ._load import BackendLoad
 from ._work import WorkTimes
 
-# Cost of leaving the data centre or region, as time. The link between regions is
-# narrow and billed by volume; the one between data centres is billed less.
-OTHER_DATA_CENTRE_S = 0.03
-OTHER_REGION_S = 0.2
+# Cost of leaving the data centre or region, in times of the work. Loads there are not
+# known here; the link between regions is narrow and billed by volume, the one between
+# data centres is billed less.
+OTHER_DATA_CENTRE = 0.4
+OTHER_REGION = 0.9
 CONNECT_S = 0.004  # cost of a new connection: a handshake at the server, and its price
 UNTRIED_BONUS_S = 0.02  # new servers get their first request soon
 BLAME_WEIGHT = 3.0  # times the work, for each recent failure
@@ -108,6 +109,8 @@
         expected_s: Expected time until the answer.
         wait_s: Expected wait for a free server.
         free: Servers that could take the request.
+        idle: Share of the usable servers that have no request.
+        patience_s: How long waiting for a server of its own is worth it.
         begun_s: When the request was counted at the server, or None.
     """
 
@@ -118,6 +121,8 @@
         "expected_s",
         "wait_s",
         "free",
+        "idle",
+        "patience_s",
         "begun_s",
     )
 
@@ -129,6 +134,8 @@
         expected_s: float = 0.0,
         wait_s: float = 0.0,
         free: int = 0,
+        idle: float = 0.0,
+        patience_s: float = 0.0,
     ) -> None:
         self.verdict = verdict
         self.load = load
@@ -136,6 +143,8 @@
         self.expected_s = expected_s
         self.wait_s = wait_s
         self.free = free
+        self.idle = idle
+        self.patience_s = patience_s
         self.begun_s: float | None = None
 
 
@@ -216,7 +225,7 @@
         best: BackendLoad | None = None
         best_score_s = best_time_s = 1e18
         best_count = 0.0
-        usable = free = 0
+        usable = near_by = free = idle = 0
         for load in self._book.by_service.get(req.service, ()):
             if not self.is_allowed(load, req.route):
                 continue
@@ -225,7 +234,9 @@
             if near and load.region != self._region:
                 continue
             usable += 1
+            near_by += load.entry.data_centre == self._data_centre
             count = load.in_flight(now_s)
+            idle += count < 1.0
             if count + 1.0 > load.entry.slots or not self._bears(load, rule, now_s):
                 continue
             free += 1
@@ -240,10 +251,12 @@
                 self._spread(NO_BACKEND_RETRY_S),
                 code="no_backend",
             )
-        wait_s = self._wait_s(req, usable, ahead)
+        wait_s = self._wait_s(req, near_by or usable, ahead)
+        patience_s = self._patience_s(req, sharing, now_s)
+        share = idle / usable
         if best is None or (ahead and best_count >= 1.0):
             self._check_time(req, wait_s, now_s)
-            return Choice(Verdict.WAIT, None, wait_s=wait_s, free=free)
+            return Choice(Verdict.WAIT, None, 0.0, 0.0, wait_s, free, share, patience_s)
         is_shared = best_count >= 1.0
         slack_s = req.objective_s - now_s - best_time_s
         if (
@@ -252,8 +265,17 @@
             and wait_s + req.work_s < best_score_s
             and slack_s > 0.0
         ):
-            return Choice(Verdict.WAIT, None, wait_s=wait_s, free=free)
-        return Choice(Verdict.PLACE, best, best_count, best_time_s, wait_s, free)
+            return Choice(Verdict.WAIT, None, 0.0, 0.0, wait_s, free, share, patience_s)
+        return Choice(
+            Verdict.PLACE,
+            best,
+            best_count,
+            best_time_s,
+            wait_s,
+            free,
+            share,
+            patience_s,
+        )
 
     def _is_open(self, load: BackendLoad, req: PlaceRequest, now_s: float) -> bool:
         if now_s < load.closed_until_s or load.entry.id in req.excluded:
@@ -300,7 +322,7 @@
         extra_s = self._rng.random() * 1e-3
         if load.entry.data_centre != self._data_centre:
             is_near = load.region == self._region
-            extra_s += OTHER_DATA_CENTRE_S if is_near else OTHER_REGION_S
+            extra_s += req.work_s * (OTHER_DATA_CENTRE if is_near else OTHER_REGION)
         if not load.tried:
             extra_s -= UNTRIED_BONUS_S
         elif not load.idle_connections:
@@ -310,6 +332,16 @@
             extra_s += (sharing - 1.0) * SHARED_SHARE * req.work_s
         return extra_s + BLAME_WEIGHT * req.work_s * load.blame(now_s)
 
+    def _patience_s(self, req: PlaceRequest, sharing: float, now_s: float) -> float:
+        """Return how long to wait rather than share a server.
+
+        Sharing lengthens this request and the one already there. A request that
+        would miss its objective by waiting shares.
+        """
+        cost_s = (sharing - 1.0) * (1.0 + SHARED_SHARE) * req.work_s
+        slack_s = req.objective_s - now_s - req.work_s * sharing
+        return max(MIN_WAIT_S, min(cost_s, slack_s))
+
     def _wait_s(self, req: PlaceRequest, usable: int, ahead: int) -> float:
         return max(MIN_WAIT_S, req.work_s / usable * (1.0 + ahead))
 
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -30,9 +30,13 @@
 START_RETRY_S = 0.5  # a daemon without a desired state normally has one by then
 # Times the expected time after which an idempotent request is sent a second time.
 HEDGE_FACTOR = 2.0
+HEDGE_WORK = 1.2  # times the work that a second copy needs to meet the objective
 HEDGE_MIN_S = 0.03
+# Share of idle servers from which a second copy takes no room of other requests; more
+# is asked for a copy that can only be late.
+HEDGE_IDLE = 0.5
+HEDGE_LATE_IDLE = 0.7
 HEDGE_RESERVE = 2.0  # repeats kept for failures
-PATIENCE_FACTOR = 2.0  # times the expected wait for a server of its own
 QUEUE_CHECK_S = 0.03  # catches room that no report announced
 LOSER_GRACE_S = 0.25  # the slower of two copies may end by itself within this time
 KEEP_FACTOR = 1.2  # times the expected time for which a place of another host counts
@@ -261,7 +265,10 @@
         if not route.idempotent or len(running) > 1 or call.runs >= route.max_attempts:
             return None
         (choice,) = running.values()
-        return max(HEDGE_MIN_S, HEDGE_FACTOR * choice.expected_s)
+        place = call.place
+        in_time_s = place.objective_s - HEDGE_WORK * place.work_s - self._now()
+        late_s = HEDGE_FACTOR * choice.expected_s
+        return max(HEDGE_MIN_S, min(late_s, max(in_time_s, choice.expected_s)))
 
     def _hedge(self, call: _Call) -> Choice | None:
         now_s = self._now()
@@ -277,6 +284,9 @@
         load = choice.load
         if load is None or choice.in_flight >= 1.0:
             return None
+        is_in_time = now_s + call.place.work_s <= call.place.objective_s
+        if choice.idle < (HEDGE_IDLE if is_in_time else HEDGE_LATE_IDLE):
+            return None
         if not self._retries.take(service, now_s, HEDGE_RESERVE):
             return None
         return choice
@@ -297,7 +307,7 @@
         if choice.verdict is Verdict.PLACE:
             return await self._confirm_remote(call, choice)
         fut: asyncio.Future[object] = asyncio.get_running_loop().create_future()
-        item = QueuedRequest(place, now_s, PATIENCE_FACTOR * choice.wait_s, fut)
+        item = QueuedRequest(place, now_s, choice.patience_s, fut)
         queue.add(item)
         self._check_later()
         self._sampler.log(
