Trial: leave the data centre only with a place kept there

Cause: half of the requests that left their data centre met others at servers believed idle. Change: a data centre that is asked may answer that it is full; the request then tries the next one.

--- a/src/crocusward/entryd/_hub.py
+++ b/src/crocusward/entryd/_hub.py
@@ -94,7 +94,7 @@
         store_age_s: Callable[[], float],
         on_room: Callable[[str], None],
         on_report: Callable[[], None],
-        offer: Callable[[str, str, float], str],
+        offer: Callable[[str, str, float, bool], str],
     ) -> None:
         self.leaving = False
         self._facts = facts
@@ -193,7 +193,9 @@
             hosts = list(self._hosts.values())
             self._endpoint.send(Introduction(hosts), [sender])
         elif isinstance(message, PlaceAsk):
-            found = self._offer(message.service, message.route, message.work_s)
+            found = self._offer(
+                message.service, message.route, message.work_s, message.shared
+            )
             self._endpoint.send(PlaceOffer(message.token, found), [sender])
         elif isinstance(message, PlaceOffer):
             fut = self._asked.get(message.token)
@@ -221,11 +223,13 @@
 
     # Places in other data centres.
 
-    async def ask(self, place: PlaceRequest, data_centre: str) -> str:
+    async def ask(
+        self, place: PlaceRequest, data_centre: str, shared: bool
+    ) -> str | None:
         """Ask a host of another data centre for a place at a server there.
 
         Returns:
-            The id of the server, or "" if there is none or no answer came in time.
+            The id of the server, "" if there is no room, or None if no answer came.
         """
         now_s = self._timer.now()
         hosts = [
@@ -235,13 +239,13 @@
             and self._unasked_until_s.get(host.host, -1.0) < now_s
         ]
         if not hosts:
-            return ""
+            return None
         host = self._rng.choice(hosts)
         self._token += 1
         token = self._token
         fut: asyncio.Future[str] = asyncio.get_running_loop().create_future()
         self._asked[token] = fut
-        ask = PlaceAsk(token, place.service, place.route.name, place.work_s)
+        ask = PlaceAsk(token, place.service, place.route.name, place.work_s, shared)
         self._endpoint.send(ask, [host.address])
         usual_s = self._ask_s.get(data_centre, ASK_FIRST_S)
         try:
@@ -252,7 +256,7 @@
             self._sampler.log(
                 "place_ask_unanswered", id=place.id, host=host.host, usual_s=usual_s
             )
-            return ""
+            return None
         finally:
             del self._asked[token]
         took_s = self._timer.now() - now_s
--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -32,6 +32,7 @@
     CallerAnswer,
     CallerRequest,
     Listener,
+    PlaceFinder,
     Relay,
     refusal,
 )
@@ -137,32 +138,42 @@
             lambda: self.timer.now() - self._answered_s(),
             lambda service: self.relay.room_changed(service),
             lambda: self.rows.check(),
-            lambda *ask: self.relay.offer(*ask),
+            lambda *ask: self.places.offer(*ask),
         )
         times = WorkTimes()
         bounds = facts.bounds
         self.retries = RetryAllowance(
             bounds.retry_ratio, bounds.retry_reserve, bounds.retry_window_s
         )
+        placer = Placer(
+            self.directory,
+            self.book,
+            times,
+            facts.data_centre,
+            facts.region,
+            self._rng,
+        )
+        self.places = PlaceFinder(
+            self.timer,
+            self.directory,
+            self.book,
+            placer,
+            self.hub,
+            self.sampler,
+            facts.data_centre,
+        )
         self.relay = Relay(
             self.timer,
             self.directory,
             self.book,
             times,
-            Placer(
-                self.directory,
-                self.book,
-                times,
-                facts.data_centre,
-                facts.region,
-                self._rng,
-            ),
+            placer,
+            self.places,
             self.retries,
             BackendLink(self._backend_pool),
             self.hub,
             self.sampler,
             facts.limits.memory_mb,
-            facts.data_centre,
         )
         control = _ControlHandler(self)
         self.callers = Listener(self.relay, self.timer)
--- a/src/crocusward/neighbours/_codec.py
+++ b/src/crocusward/neighbours/_codec.py
@@ -41,7 +41,14 @@
     if isinstance(message, PlaceAsk):
         work_ms = int(message.work_s * MS_PER_S)
         return cbor2.dumps(
-            [ASK, message.token, message.service, message.route, work_ms]
+            [
+                ASK,
+                message.token,
+                message.service,
+                message.route,
+                work_ms,
+                message.shared,
+            ]
         )
     if isinstance(message, PlaceOffer):
         return cbor2.dumps([OFFER, message.token, message.backend])
@@ -84,9 +91,10 @@
         if kind == HELLO:
             return Hello(*_texts(fields[1:4]))
         if kind == ASK:
-            _, token, service, route, work_ms = fields
+            _, token, service, route, work_ms, shared = fields
             _texts([service, route, ""])
-            return PlaceAsk(int(token), service, route, int(work_ms) / MS_PER_S)
+            work_s = int(work_ms) / MS_PER_S
+            return PlaceAsk(int(token), service, route, work_s, bool(shared))
         if kind == OFFER:
             _, token, backend = fields
             _texts([backend, "", ""])
--- a/src/crocusward/neighbours/_messages.py
+++ b/src/crocusward/neighbours/_messages.py
@@ -149,15 +149,19 @@
         service: Name of the service.
         route: Name of the route, which may restrict regions.
         work_s: Expected time of the request.
+        shared: Whether a server that has a request already will do.
     """
 
-    __slots__ = ("token", "service", "route", "work_s")
+    __slots__ = ("token", "service", "route", "work_s", "shared")
 
-    def __init__(self, token: int, service: str, route: str, work_s: float) -> None:
+    def __init__(
+        self, token: int, service: str, route: str, work_s: float, shared: bool
+    ) -> None:
         self.token = token
         self.service = service
         self.route = route
         self.work_s = work_s
+        self.shared = shared
 
 
 class PlaceOffer(Record):
--- a/src/crocusward/placing/_placer.py
+++ b/src/crocusward/placing/_placer.py
@@ -147,6 +147,11 @@
         self.patience_s = patience_s
         self.begun_s: float | None = None
 
+    def take(self, other: "Choice") -> None:
+        """Take over another choice."""
+        for name in self.__slots__:
+            setattr(self, name, getattr(other, name))
+
 
 class Placer:
     """Places requests by the expected time until the answer.
@@ -200,7 +205,8 @@
         *,
         ahead: int = 0,
         may_wait: bool = True,
-        near: bool = False,
+        own_data_centre: bool = False,
+        avoid: Collection[str] = (),
     ) -> Choice:
         """Decide on a request.
 
@@ -209,7 +215,8 @@
             now_s: Monotonic time.
             ahead: Waiting requests that go before it.
             may_wait: Whether it may go on waiting for a server of its own.
-            near: Consider only servers of this region.
+            own_data_centre: Consider only servers of this data centre.
+            avoid: Data centres that have no room.
 
         Raises:
             Refused: No server can answer it in time.
@@ -231,12 +238,15 @@
                 continue
             if not self._is_open(load, req, now_s):
                 continue
-            if near and load.region != self._region:
+            is_own = load.entry.data_centre == self._data_centre
+            if own_data_centre and not is_own:
                 continue
             usable += 1
-            near_by += load.entry.data_centre == self._data_centre
+            near_by += is_own
             count = load.in_flight(now_s)
             idle += count < 1.0
+            if load.entry.data_centre in avoid:
+                continue
             if count + 1.0 > load.entry.slots or not self._bears(load, rule, now_s):
                 continue
             free += 1
--- a/src/crocusward/placing/_queue.py
+++ b/src/crocusward/placing/_queue.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Iterator
 
-from ._placer import PlaceRequest
+from ._placer import Choice, PlaceRequest
 
 
 class QueuedRequest:
@@ -23,7 +23,7 @@
         req: PlaceRequest,
         since_s: float,
         patience_s: float,
-        fut: "asyncio.Future[object]",
+        fut: "asyncio.Future[Choice]",
     ) -> None:
         self.req = req
         self.since_s = since_s
--- a/src/crocusward/relay/__init__.py
+++ b/src/crocusward/relay/__init__.py
@@ -5,8 +5,10 @@
 from ._listener import Listener
 from ._messages import CallerAnswer, CallerRequest, refusal
 from ._pipeline import Relay
+from ._places import FULL, PlaceFinder
 
 __all__ = [
+    "FULL",
     "BackendLink",
     "CallerAnswer",
     "CallerConnection",
@@ -14,6 +16,7 @@
     "Exchange",
     "ExchangeEnd",
     "Listener",
+    "PlaceFinder",
     "Relay",
     "refusal",
 ]
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -1,7 +1,6 @@
 """The way of one request: route, place, send, repeat, answer."""
 
 import asyncio
-from typing import Protocol
 
 from ..desired import CallerLimits, Directory, RouteRule
 from ..errors import NotSentError
@@ -14,11 +13,8 @@
     LoadBook,
     Placer,
     PlaceRequest,
-    QueuedRequest,
     Refused,
-    RequestQueue,
     RetryAllowance,
-    Verdict,
     WeightedSplit,
     WorkTimes,
 )
@@ -26,6 +22,7 @@
 from ._caller import DEFAULT_LIMITS
 from ._exchange import BackendLink, Exchange, ExchangeEnd
 from ._messages import CallerAnswer, CallerRequest, refusal
+from ._places import MIN_SEND_S, Announcer, PlaceFinder
 
 START_RETRY_S = 0.5  # a daemon without a desired state normally has one by then
 # Times the expected time after which an idempotent request is sent a second time.
@@ -37,24 +34,11 @@
 HEDGE_IDLE = 0.5
 HEDGE_LATE_IDLE = 0.7
 HEDGE_RESERVE = 2.0  # repeats kept for failures
-QUEUE_CHECK_S = 0.03  # catches room that no report announced
 LOSER_GRACE_S = 0.25  # the slower of two copies may end by itself within this time
-KEEP_FACTOR = 1.2  # times the expected time for which a place of another host counts
-MIN_SEND_S = 0.01  # less time at a server is no use
 MEMORY_SHARE = 0.25  # of the host's memory may hold request bodies
 MB = 1 << 20
 
 
-class Announcer(Protocol):
-    """Tells neighbours of requests in flight and of what was seen."""
-
-    def announce(self, load: BackendLoad, seen: Sighting | None) -> None:
-        """Report a change at a backend server."""
-
-    async def ask(self, place: PlaceRequest, data_centre: str) -> str:
-        """Ask a host of another data centre; return a backend server or ""."""
-
-
 class _Call:
     """State of one request under way."""
 
@@ -89,12 +73,12 @@
         book: Loads of the servers.
         times: Learned times of work.
         placer: Chooses servers.
+        places: Finds places.
         retries: This host's share of the fleet's repeats.
         link: Sends to servers.
         announcer: Tells neighbours.
         sampler: Logs decisions.
         memory_mb: Memory of the host.
-        data_centre: Data centre of the host.
     """
 
     __slots__ = (
@@ -110,13 +94,11 @@
         "_link",
         "_announcer",
         "_sampler",
-        "_data_centre",
+        "_places",
         "_split",
-        "_queues",
         "_body_bytes",
         "_body_limit",
         "_losers",
-        "_checking",
     )
 
     def __init__(
@@ -126,12 +108,12 @@
         book: LoadBook,
         times: WorkTimes,
         placer: Placer,
+        places: PlaceFinder,
         retries: RetryAllowance,
         link: BackendLink,
         announcer: Announcer,
         sampler: EventSampler,
         memory_mb: int,
-        data_centre: str,
     ) -> None:
         self.limits: CallerLimits = DEFAULT_LIMITS
         self.latencies: dict[str, LatencyRecorder] = {}
@@ -145,13 +127,11 @@
         self._link = link
         self._announcer = announcer
         self._sampler = sampler
-        self._data_centre = data_centre
+        self._places = places
         self._split = WeightedSplit()
-        self._queues: dict[str, RequestQueue] = {}
         self._body_bytes = 0
         self._body_limit = int(memory_mb * MB * MEMORY_SHARE)
         self._losers: set[asyncio.Task[None]] = set()
-        self._checking = False
 
     # RequestHandler.
 
@@ -273,7 +253,10 @@
     def _hedge(self, call: _Call) -> Choice | None:
         now_s = self._now()
         service = call.place.service
-        if self._queues.get(service) or now_s + MIN_SEND_S > call.place.deadline_s:
+        if (
+            self._places.has_waiting(service)
+            or now_s + MIN_SEND_S > call.place.deadline_s
+        ):
             return None
         if self._retries.left(service, now_s) < 1.0 + HEDGE_RESERVE:
             return None
@@ -292,139 +275,15 @@
         return choice
 
     async def _place(self, call: _Call) -> Choice:
-        """Return a server, after a wait if need be.
-
-        Raises:
-            Refused: No server can answer in time.
-        """
-        place = call.place
-        now_s = self._now()
-        if now_s + MIN_SEND_S >= place.deadline_s:
-            raise Refused("no time is left", 0.0, code="no_time")
-        queue = self._queues.setdefault(place.service, RequestQueue())
-        ahead = queue.ahead_of(place, now_s)
-        choice = self._placer.choose(place, now_s, ahead=ahead)
-        if choice.verdict is Verdict.PLACE:
-            return await self._confirm_remote(call, choice)
-        fut: asyncio.Future[object] = asyncio.get_running_loop().create_future()
-        item = QueuedRequest(place, now_s, choice.patience_s, fut)
-        queue.add(item)
-        self._check_later()
-        self._sampler.log(
-            "request_queued",
-            Level.DEBUG,
-            id=place.id,
-            service=place.service,
-            ahead=ahead,
-            wait_s=choice.wait_s,
-        )
+        began_s = self._now()
         try:
-            async with asyncio.timeout(max(0.0, place.deadline_s - now_s)):
-                found = await fut
-        except BaseException as exc:
-            _return_place(fut)
-            if isinstance(exc, TimeoutError):
-                raise Refused("waited in vain", 0.0, code="no_time")
-            raise
+            return await self._places.find(call.place)
         finally:
-            queue.discard(item)
-            call.waited_s += self._now() - now_s
-        assert isinstance(found, Choice)
-        return found
-
-    async def _confirm_remote(self, call: _Call, choice: Choice) -> Choice:
-        """Let a host of the other data centre choose; it knows the loads there."""
-        load = choice.load
-        assert load is not None
-        data_centre = load.entry.data_centre
-        if data_centre == self._data_centre:
-            return choice
-        id = await self._announcer.ask(call.place, data_centre)
-        found = self._book.loads.get(id)
-        if found is None or id in call.tried:
-            return choice
-        if self._placer.is_allowed(found, call.place.route):
-            choice.load = found
-        return choice
-
-    def offer(self, service: str, route_name: str, work_s: float) -> str:
-        """Keep a place for a host of another data centre.
-
-        Returns:
-            The id of the backend server, or "" if none has room.
-        """
-        now_s = self._now()
-        state = self._directory.state
-        route = state.route_named(route_name) if state else None
-        if route is None or self._queues.get(service):
-            return ""
-        place = PlaceRequest(
-            "",
-            route,
-            service,
-            objective_s=now_s + route.objective_s,
-            deadline_s=now_s + route.timeout_s,
-            work_s=work_s,
-        )
-        try:
-            choice = self._placer.choose(place, now_s, may_wait=False, near=True)
-        except Refused:
-            return ""
-        load = choice.load
-        if load is None:
-            return ""
-        load.keep_place(now_s)
-        kept_s = KEEP_FACTOR * max(work_s, choice.expected_s)
-        self._timer.call_later(kept_s, lambda: self._end_offer(load, now_s))
-        self._announcer.announce(load, None)
-        return load.entry.id
-
-    def _end_offer(self, load: BackendLoad, now_s: float) -> None:
-        load.end(now_s)
-        self._announcer.announce(load, None)
-        self.room_changed(load.entry.service)
+            call.waited_s += self._now() - began_s
 
     def room_changed(self, service: str) -> None:
         """Place waiting requests of a service while there is room."""
-        queue = self._queues.get(service)
-        if not queue:
-            return
-        now_s = self._now()
-        for position, item in enumerate(queue.in_order(now_s)):
-            if item.fut.done():
-                queue.discard(item)
-                continue
-            waited_s = now_s - item.since_s
-            may_wait = waited_s < item.patience_s
-            try:
-                choice = self._placer.choose(
-                    item.req, now_s, ahead=0, may_wait=may_wait
-                )
-            except Refused as exc:
-                queue.discard(item)
-                item.fut.set_exception(exc)
-                continue
-            if choice.verdict is Verdict.PLACE and choice.load is not None:
-                queue.discard(item)
-                # Counted at once, so that the next in the queue sees it.
-                choice.load.begin(now_s)
-                choice.begun_s = now_s
-                item.fut.set_result(choice)
-            elif choice.free == 0 and position > 0:
-                break
-
-    def _check_later(self) -> None:
-        if not self._checking:
-            self._checking = True
-            self._timer.call_later(QUEUE_CHECK_S, self._check_queues)
-
-    def _check_queues(self) -> None:
-        self._checking = False
-        for service, queue in list(self._queues.items()):
-            if queue:
-                self.room_changed(service)
-        if any(self._queues.values()):
-            self._check_later()
+        self._places.room_changed(service)
 
     def _launch(self, call: _Call, choice: Choice) -> "asyncio.Task[Exchange]":
         load = choice.load
@@ -661,14 +520,6 @@
         self._sampler.log(name, Level.INFO, **fields)
 
 
-def _return_place(fut: "asyncio.Future[object]") -> None:
-    """Give back a place that was found for a request that no longer waits."""
-    if fut.done() and not fut.cancelled() and fut.exception() is None:
-        choice = fut.result()
-        if isinstance(choice, Choice) and choice.load and choice.begun_s is not None:
-            choice.load.end(choice.begun_s)
-
-
 async def _end_soon(task: "asyncio.Task[Exchange]") -> None:
     """Let the slower copy of a request end, then cancel it."""
     _, late = await asyncio.wait({task}, timeout=LOSER_GRACE_S)
--- /dev/null
+++ b/src/crocusward/relay/_places.py
@@ -0,0 +1,258 @@
+"""Finds a place at a backend server: chosen here, waited for, or asked for."""
+
+import asyncio
+from typing import Protocol
+
+from ..desired import Directory
+from ..logs import EventSampler
+from ..neighbours import Sighting
+from ..placing import (
+    BackendLoad,
+    Choice,
+    LoadBook,
+    Placer,
+    PlaceRequest,
+    QueuedRequest,
+    Refused,
+    RequestQueue,
+)
+from ..timing import TimerService
+
+QUEUE_CHECK_S = 0.03  # catches room that no report announced
+KEEP_FACTOR = 1.2  # times the expected time for which a place of another host counts
+MAX_ASKS = 2  # data centres asked for one request before it waits or shares
+MIN_SEND_S = 0.01  # less time at a server is no use
+FULL = ""  # answer of a data centre that has no room
+
+
+class Announcer(Protocol):
+    """Tells neighbours of requests in flight, and asks other data centres."""
+
+    def announce(self, load: BackendLoad, seen: Sighting | None) -> None:
+        """Report a change at a backend server."""
+
+    async def ask(
+        self, place: PlaceRequest, data_centre: str, shared: bool
+    ) -> str | None:
+        """Ask a host of another data centre for a place at a server there.
+
+        Args:
+            place: The request.
+            data_centre: The data centre.
+            shared: Whether a server that has a request already will do.
+
+        Returns:
+            The id of the server, ``FULL``, or None if no answer came in time.
+        """
+
+
+class PlaceFinder:
+    """Finds places for the requests of this host and of other data centres.
+
+    Loads of other data centres are not known here, so that a request leaves its data
+    centre only with a place that a host there has kept for it.
+
+    Args:
+        timer: Source of time.
+        directory: Desired state.
+        book: Loads of the servers.
+        placer: Chooses servers.
+        announcer: Tells and asks others.
+        sampler: Logs decisions.
+        data_centre: Data centre of this host.
+    """
+
+    __slots__ = (
+        "_timer",
+        "_directory",
+        "_book",
+        "_placer",
+        "_announcer",
+        "_sampler",
+        "_data_centre",
+        "_queues",
+        "_checking",
+    )
+
+    def __init__(
+        self,
+        timer: TimerService,
+        directory: Directory,
+        book: LoadBook,
+        placer: Placer,
+        announcer: Announcer,
+        sampler: EventSampler,
+        data_centre: str,
+    ) -> None:
+        self._timer = timer
+        self._directory = directory
+        self._book = book
+        self._placer = placer
+        self._announcer = announcer
+        self._sampler = sampler
+        self._data_centre = data_centre
+        self._queues: dict[str, RequestQueue] = {}
+        self._checking = False
+
+    def has_waiting(self, service: str) -> bool:
+        """Return whether requests of a service wait here."""
+        return bool(self._queues.get(service))
+
+    async def find(self, place: PlaceRequest) -> Choice:
+        """Return a place, after a wait if need be.
+
+        Raises:
+            Refused: No server can answer in time.
+        """
+        full: set[str] = set()
+        is_patient = True
+        while True:
+            now_s = self._timer.now()
+            if now_s + MIN_SEND_S >= place.deadline_s:
+                raise Refused("no time is left", 0.0, code="no_time")
+            queue = self._queues.setdefault(place.service, RequestQueue())
+            ahead = queue.ahead_of(place, now_s) if is_patient else 0
+            choice = self._placer.choose(
+                place, now_s, ahead=ahead, may_wait=is_patient, avoid=full
+            )
+            if choice.load is None:
+                if await self._wait(place, queue, choice, now_s):
+                    return choice
+                is_patient = False
+                full.clear()
+                continue
+            data_centre = choice.load.entry.data_centre
+            if data_centre == self._data_centre:
+                return choice
+            if len(full) >= MAX_ASKS:
+                return choice
+            shared = not is_patient or bool(full)
+            id = await self._announcer.ask(place, data_centre, shared)
+            if id is None:
+                return choice
+            found = self._book.loads.get(id)
+            if found is None or id in place.excluded:
+                full.add(data_centre)
+                continue
+            if self._placer.is_allowed(found, place.route):
+                choice.load = found
+            return choice
+
+    async def _wait(
+        self, place: PlaceRequest, queue: RequestQueue, choice: Choice, now_s: float
+    ) -> bool:
+        """Wait for room here; return False when waiting longer does not pay."""
+        fut: asyncio.Future[Choice] = asyncio.get_running_loop().create_future()
+        item = QueuedRequest(place, now_s, choice.patience_s, fut)
+        queue.add(item)
+        self._check_later()
+        self._sampler.log(
+            "request_queued",
+            id=place.id,
+            service=place.service,
+            waiting=len(queue),
+            wait_s=choice.wait_s,
+            patience_s=choice.patience_s,
+        )
+        end_s = min(choice.patience_s, place.deadline_s - now_s)
+        try:
+            async with asyncio.timeout(max(0.0, end_s)):
+                choice.take(await fut)
+        except TimeoutError:
+            _return_place(fut)
+            return False
+        except BaseException:
+            _return_place(fut)
+            raise
+        finally:
+            queue.discard(item)
+        return True
+
+    def room_changed(self, service: str) -> None:
+        """Place waiting requests of a service while there is room here."""
+        queue = self._queues.get(service)
+        if not queue:
+            return
+        now_s = self._timer.now()
+        for item in queue.in_order(now_s):
+            if item.fut.done():
+                queue.discard(item)
+                continue
+            try:
+                choice = self._placer.choose(item.req, now_s, own_data_centre=True)
+            except Refused as exc:
+                if exc.code == "no_backend":
+                    continue  # servers elsewhere may do; its patience decides
+                queue.discard(item)
+                item.fut.set_exception(exc)
+                continue
+            if choice.load is not None:
+                queue.discard(item)
+                # Counted at once, so that the next in the queue sees it.
+                choice.load.begin(now_s)
+                choice.begun_s = now_s
+                item.fut.set_result(choice)
+            elif choice.free == 0:
+                break
+
+    def _check_later(self) -> None:
+        if not self._checking:
+            self._checking = True
+            self._timer.call_later(QUEUE_CHECK_S, self._check_queues)
+
+    def _check_queues(self) -> None:
+        self._checking = False
+        for service, queue in list(self._queues.items()):
+            if queue:
+                self.room_changed(service)
+        if any(self._queues.values()):
+            self._check_later()
+
+    # Places for other data centres.
+
+    def offer(self, service: str, route_name: str, work_s: float, shared: bool) -> str:
+        """Keep a place for a host of another data centre.
+
+        Returns:
+            The id of the backend server, or ``FULL``.
+        """
+        now_s = self._timer.now()
+        state = self._directory.state
+        route = state.route_named(route_name) if state else None
+        if route is None or (self.has_waiting(service) and not shared):
+            return FULL
+        place = PlaceRequest(
+            "",
+            route,
+            service,
+            objective_s=now_s + route.objective_s,
+            deadline_s=now_s + route.timeout_s,
+            work_s=work_s,
+        )
+        try:
+            choice = self._placer.choose(
+                place, now_s, may_wait=False, own_data_centre=True
+            )
+        except Refused:
+            return FULL
+        load = choice.load
+        if load is None or (choice.in_flight >= 1.0 and not shared):
+            return FULL
+        load.keep_place(now_s)
+        kept_s = KEEP_FACTOR * max(work_s, choice.expected_s)
+        self._timer.call_later(kept_s, lambda: self._end_offer(load, now_s))
+        self._announcer.announce(load, None)
+        return load.entry.id
+
+    def _end_offer(self, load: BackendLoad, now_s: float) -> None:
+        load.end(now_s)
+        self._announcer.announce(load, None)
+        self.room_changed(load.entry.service)
+
+
+def _return_place(fut: "asyncio.Future[Choice]") -> None:
+    """Give back a place that was found for a request that no longer waits."""
+    if fut.done() and not fut.cancelled() and fut.exception() is None:
+        choice = fut.result()
+        if choice.load is not None and choice.begun_s is not None:
+            choice.load.end(choice.begun_s)
--- a/tests/entry_support.py
+++ b/tests/entry_support.py
@@ -14,7 +14,7 @@
 )
 from crocusward.logs import EventSampler
 from crocusward.placing import LoadBook, Placer, RetryAllowance, WorkTimes
-from crocusward.relay import BackendLink, Listener, Relay
+from crocusward.relay import BackendLink, Listener, PlaceFinder, Relay
 from crocusward.timing import LoopTimer
 from crocusward.upstream import HttpPool
 
@@ -66,8 +66,8 @@
     def announce(self, load, seen):
         self.seen.append((load.entry.id, seen))
 
-    async def ask(self, place, data_centre):
-        return ""
+    async def ask(self, place, data_centre, shared):
+        return None
 
 
 class RelayOnLoopback:
@@ -89,18 +89,28 @@
         placer = Placer(
             self.directory, self.book, times, "east-a", "east", random.Random(1)
         )
+        sampler = EventSampler(self.timer.now, 0)
+        self.places = PlaceFinder(
+            self.timer,
+            self.directory,
+            self.book,
+            placer,
+            self.announcer,
+            sampler,
+            "east-a",
+        )
         self.relay = Relay(
             self.timer,
             self.directory,
             self.book,
             times,
             placer,
+            self.places,
             self.retries,
             BackendLink(self.pool),
             self.announcer,
-            EventSampler(self.timer.now, 0),
+            sampler,
             100,
-            "east-a",
         )
         self.relay.limits = self.directory.state.limits
         self.listener = Listener(self.relay, self.timer)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -243,7 +243,8 @@
                 client.raw.send(
                     b"POST /order/a HTTP/1.1\r\nHost: api.example\r\n"
                     b"Crocusward-Request-Id: q1\r\nContent-Length: 4\r\n"
-                    b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /look/ HTTP/1.1\r\n"
+                    b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+                    b"GET /look/ HTTP/1.1\r\n"
                 )
                 self.assertEqual((await client.raw.read()).status, 400)
             self.assertEqual(server.requests, [])
