Requests that must leave the data centre wait there for a place; digests of room

Cause: servers of other data centres looked idle because their load is not known here, so that requests wandered, and those that must leave starved behind local queues. Change: digests of the idle share between data centres; a question may wait in the queue of the data centre it goes to; the wait is estimated from the slots.

--- a/src/crocusward/entryd/_hub.py
+++ b/src/crocusward/entryd/_hub.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from ..desired import HostFacts
 from ..logs import EventSampler, Level, log_event
@@ -11,6 +11,8 @@
     HostReport,
     Introduction,
     KnownHost,
+    LoadDigest,
+    Message,
     NeighbourEndpoint,
     NeighbourTable,
     PlaceAsk,
@@ -29,6 +31,8 @@
 ASK_FACTOR = 1.5  # times the usual time of an answer
 ASK_PAUSE_S = 2.0  # for which a host that did not answer is not asked
 ASK_GAIN = 0.1
+DIGEST_S = 0.3  # period of digests to data centres of the region
+FAR_DIGEST_S = 1.0  # the same to other regions, over the link billed by volume
 HELLO_PERIOD_S = 1.0
 HELLO_ROUNDS = 5
 
@@ -68,6 +72,7 @@
         "_on_report",
         "_offer",
         "_asked",
+        "_answering",
         "_ask_s",
         "_unasked_until_s",
         "_token",
@@ -75,6 +80,7 @@
         "_seq",
         "_dirty",
         "_sightings",
+        "_digests",
         "_flush_due",
         "_subs",
         "_silent",
@@ -94,7 +100,7 @@
         store_age_s: Callable[[], float],
         on_room: Callable[[str], None],
         on_report: Callable[[], None],
-        offer: Callable[[str, str, float, bool], str],
+        offer: Callable[[str, str, float, bool, float], Awaitable[str]],
     ) -> None:
         self.leaving = False
         self._facts = facts
@@ -110,6 +116,7 @@
         self._on_room = on_room
         self._on_report = on_report
         self._offer = offer
+        self._answering: set[asyncio.Task[None]] = set()
         self._asked: dict[int, asyncio.Future[str]] = {}
         self._ask_s: dict[str, float] = {}
         self._unasked_until_s: dict[str, float] = {}
@@ -120,6 +127,7 @@
         self._seq = 0
         self._dirty: set[str] = set()
         self._sightings: list[Sighting] = []
+        self._digests: dict[str, LoadDigest] = {}
         self._flush_due = False
         self._subs: list[Subscription] = []
         self._silent: set[str] = set()
@@ -133,8 +141,10 @@
         """
         await self._endpoint.start(self._facts.address, self._facts.peer_ports[0])
         self._greet_seeds()
-        self._subs.append(self._timer.every(HELLO_PERIOD_S, self._greet_seeds))
         self._schedule_report()
+        self._subs.append(self._timer.every(HELLO_PERIOD_S, self._greet_seeds))
+        self._subs.append(self._timer.every(DIGEST_S, self._send_near_digests))
+        self._subs.append(self._timer.every(FAR_DIGEST_S, self._send_far_digests))
 
     def close(self) -> None:
         """Stop."""
@@ -183,7 +193,7 @@
 
     def _on_message(
         self,
-        message: Hello | Introduction | HostReport | PlaceAsk | PlaceOffer,
+        message: Message,
         sender: str,
     ) -> None:
         if isinstance(message, HostReport):
@@ -192,11 +202,15 @@
             self._add(KnownHost(message.host, sender, message.data_centre))
             hosts = list(self._hosts.values())
             self._endpoint.send(Introduction(hosts), [sender])
+        elif isinstance(message, LoadDigest):
+            self._book.take_idle(message.data_centre, message.idle)
+            self._digests[message.data_centre] = message
         elif isinstance(message, PlaceAsk):
-            found = self._offer(
-                message.service, message.route, message.work_s, message.shared
+            task = asyncio.get_running_loop().create_task(
+                self._answer_ask(message, sender)
             )
-            self._endpoint.send(PlaceOffer(message.token, found), [sender])
+            self._answering.add(task)
+            task.add_done_callback(self._answering.discard)
         elif isinstance(message, PlaceOffer):
             fut = self._asked.get(message.token)
             if fut is not None and not fut.done():
@@ -217,14 +231,38 @@
         if report.host in self._silent:
             self._silent.discard(report.host)
             log_event("neighbour_regained", host=report.host)
+        for digest in report.digests:
+            self._book.take_idle(digest.data_centre, digest.idle)
         for service in self._book.take_report(report):
             self._on_room(service)
         self._on_report()
 
+    # Room in this data centre, told to the others by the first host in rank.
+
+    def _send_near_digests(self) -> None:
+        self._send_digests(in_region=True)
+
+    def _send_far_digests(self) -> None:
+        self._send_digests(in_region=False)
+
+    def _send_digests(self, *, in_region: bool) -> None:
+        own = self._facts.data_centre
+        live = self._peers.live(self._timer.now())
+        if self.leaving or any(peer.host < self._facts.name for peer in live):
+            return
+        others: dict[str, list[KnownHost]] = {}
+        for host in self._hosts.values():
+            region = self._facts.regions.get(host.data_centre)
+            if host.data_centre != own and (region == self._facts.region) == in_region:
+                others.setdefault(host.data_centre, []).append(host)
+        digest = LoadDigest(own, self._book.idle_here(own))
+        for hosts in others.values():
+            self._endpoint.send(digest, [self._rng.choice(hosts).address])
+
     # Places in other data centres.
 
     async def ask(
-        self, place: PlaceRequest, data_centre: str, shared: bool
+        self, place: PlaceRequest, data_centre: str, shared: bool, wait_s: float
     ) -> str | None:
         """Ask a host of another data centre for a place at a server there.
 
@@ -245,11 +283,13 @@
         token = self._token
         fut: asyncio.Future[str] = asyncio.get_running_loop().create_future()
         self._asked[token] = fut
-        ask = PlaceAsk(token, place.service, place.route.name, place.work_s, shared)
+        ask = PlaceAsk(
+            token, place.service, place.route.name, place.work_s, shared, wait_s
+        )
         self._endpoint.send(ask, [host.address])
         usual_s = self._ask_s.get(data_centre, ASK_FIRST_S)
         try:
-            async with asyncio.timeout(ASK_FACTOR * usual_s + ASK_MARGIN_S):
+            async with asyncio.timeout(wait_s + ASK_FACTOR * usual_s + ASK_MARGIN_S):
                 found = await fut
         except TimeoutError:
             self._unasked_until_s[host.host] = now_s + ASK_PAUSE_S
@@ -260,6 +300,8 @@
         finally:
             del self._asked[token]
         took_s = self._timer.now() - now_s
+        if wait_s > 0.0:
+            took_s = min(took_s, usual_s)  # the wait there is no part of the way
         self._ask_s[data_centre] = usual_s + ASK_GAIN * (took_s - usual_s)
         self._sampler.log(
             "place_asked",
@@ -271,6 +313,12 @@
         )
         return found
 
+    async def _answer_ask(self, ask: PlaceAsk, sender: str) -> None:
+        found = await self._offer(
+            ask.service, ask.route, ask.work_s, ask.shared, ask.wait_s
+        )
+        self._endpoint.send(PlaceOffer(ask.token, found), [sender])
+
     # Reports.
 
     def announce(self, load: BackendLoad, seen: Sighting | None) -> None:
@@ -301,8 +349,10 @@
         else:
             in_flight = {id: loads[id].own for id in self._dirty if id in loads}
         sightings = self._sightings
+        digests = list(self._digests.values())
         self._dirty = set()
         self._sightings = []
+        self._digests = {}
         return HostReport(
             self._facts.name,
             self._incarnation,
@@ -314,12 +364,13 @@
             complete=complete,
             in_flight=in_flight,
             sightings=sightings,
+            digests=digests,
         )
 
     def _schedule_report(self) -> None:
         count = len(self._peers.peers)
         period_s = min(MAX_REPORT_PERIOD_S, max(REPORT_PERIOD_S, count / REPORTS_PER_S))
-        self._subs[1:] = [self._timer.call_later(period_s, self._on_turn)]
+        self._subs[:1] = [self._timer.call_later(period_s, self._on_turn)]
 
     def _on_turn(self) -> None:
         self._schedule_report()
--- a/src/crocusward/neighbours/__init__.py
+++ b/src/crocusward/neighbours/__init__.py
@@ -1,12 +1,13 @@
 """What daemons of a data centre tell each other many times a second."""
 
-from ._codec import MessageError, decode_message, encode_message
+from ._codec import Message, MessageError, decode_message, encode_message
 from ._endpoint import NeighbourEndpoint
 from ._messages import (
     Hello,
     HostReport,
     Introduction,
     KnownHost,
+    LoadDigest,
     PlaceAsk,
     PlaceOffer,
     Sighting,
@@ -19,6 +20,8 @@
     "HostReport",
     "Introduction",
     "KnownHost",
+    "LoadDigest",
+    "Message",
     "MessageError",
     "Neighbour",
     "NeighbourEndpoint",
--- a/src/crocusward/neighbours/_codec.py
+++ b/src/crocusward/neighbours/_codec.py
@@ -10,6 +10,7 @@
     HostReport,
     Introduction,
     KnownHost,
+    LoadDigest,
     PlaceAsk,
     PlaceOffer,
     Sighting,
@@ -22,8 +23,9 @@
 MS_PER_S = 1000.0
 ASK = 4
 OFFER = 5
+DIGEST = 6
 
-Message = Hello | Introduction | HostReport | PlaceAsk | PlaceOffer
+Message = Hello | Introduction | HostReport | PlaceAsk | PlaceOffer | LoadDigest
 
 
 class MessageError(CrocusError):
@@ -39,17 +41,19 @@
     if isinstance(message, Hello):
         return cbor2.dumps([HELLO, message.host, message.address, message.data_centre])
     if isinstance(message, PlaceAsk):
-        work_ms = int(message.work_s * MS_PER_S)
         return cbor2.dumps(
             [
                 ASK,
                 message.token,
                 message.service,
                 message.route,
-                work_ms,
+                int(message.work_s * MS_PER_S),
                 message.shared,
+                int(message.wait_s * MS_PER_S),
             ]
         )
+    if isinstance(message, LoadDigest):
+        return cbor2.dumps([DIGEST, message.data_centre, message.idle])
     if isinstance(message, PlaceOffer):
         return cbor2.dumps([OFFER, message.token, message.backend])
     hosts = [[item.host, item.address, item.data_centre] for item in message.hosts]
@@ -74,6 +78,7 @@
         msg.in_flight,
         msg.waiting,
         sightings,
+        [[item.data_centre, item.idle] for item in msg.digests],
     ]
 
 
@@ -91,10 +96,18 @@
         if kind == HELLO:
             return Hello(*_texts(fields[1:4]))
         if kind == ASK:
-            _, token, service, route, work_ms, shared = fields
+            _, token, service, route, work_ms, shared, wait_ms = fields
             _texts([service, route, ""])
-            work_s = int(work_ms) / MS_PER_S
-            return PlaceAsk(int(token), service, route, work_s, bool(shared))
+            return PlaceAsk(
+                int(token),
+                service,
+                route,
+                int(work_ms) / MS_PER_S,
+                bool(shared),
+                int(wait_ms) / MS_PER_S,
+            )
+        if kind == DIGEST:
+            return _decode_digest(fields[1:])
         if kind == OFFER:
             _, token, backend = fields
             _texts([backend, "", ""])
@@ -123,7 +136,7 @@
 
 def _decode_report(fields: list[Any]) -> HostReport:
     _, host, incarnation, data_centre, seq, age_s, versions, *rest = fields
-    leaving, complete, in_flight, waiting, sightings = rest
+    leaving, complete, in_flight, waiting, sightings, digests = rest
     _texts([host, data_centre, ""])
     return HostReport(
         host,
@@ -137,9 +150,16 @@
         in_flight=_counts(in_flight),
         waiting=_counts(waiting),
         sightings=[_decode_sighting(item) for item in sightings],
+        digests=[_decode_digest(item) for item in digests],
     )
 
 
+def _decode_digest(item: list[Any]) -> LoadDigest:
+    data_centre, idle = item
+    _texts([data_centre, "", ""])
+    return LoadDigest(data_centre, _counts(idle))
+
+
 def _counts(items: Any, low: int = 0) -> dict[str, int]:
     for name, count in items.items():
         if not isinstance(name, str) or type(count) is not int or count < low:
--- a/src/crocusward/neighbours/_messages.py
+++ b/src/crocusward/neighbours/_messages.py
@@ -48,6 +48,21 @@
         self.cold_left_s = cold_left_s
 
 
+class LoadDigest(Record):
+    """Tells another data centre how much room there is in this one.
+
+    Attributes:
+        data_centre: Data centre of the sender.
+        idle: Percentage of usable backend servers without a request, by service.
+    """
+
+    __slots__ = ("data_centre", "idle")
+
+    def __init__(self, data_centre: str, idle: Mapping[str, int]) -> None:
+        self.data_centre = data_centre
+        self.idle = dict(idle)
+
+
 class HostReport(Record):
     """State of one daemon. Numbers replace earlier ones, so that a loss repairs itself.
 
@@ -63,6 +78,7 @@
         in_flight: Requests of this host by backend server.
         waiting: Requests that wait at this host by service.
         sightings: What the host just learned of backend servers.
+        digests: What other data centres told this host, passed on.
     """
 
     __slots__ = (
@@ -77,6 +93,7 @@
         "in_flight",
         "waiting",
         "sightings",
+        "digests",
     )
 
     def __init__(
@@ -93,6 +110,7 @@
         in_flight: Mapping[str, int] | None = None,
         waiting: Mapping[str, int] | None = None,
         sightings: Sequence[Sighting] = (),
+        digests: Sequence[LoadDigest] = (),
     ) -> None:
         self.host = host
         self.incarnation = incarnation
@@ -105,6 +123,7 @@
         self.in_flight = dict(in_flight or {})
         self.waiting = dict(waiting or {})
         self.sightings = list(sightings)
+        self.digests = list(digests)
 
 
 class Hello(Record):
@@ -150,18 +169,26 @@
         route: Name of the route, which may restrict regions.
         work_s: Expected time of the request.
         shared: Whether a server that has a request already will do.
+        wait_s: How long the request may wait at the receiver.
     """
 
-    __slots__ = ("token", "service", "route", "work_s", "shared")
+    __slots__ = ("token", "service", "route", "work_s", "shared", "wait_s")
 
     def __init__(
-        self, token: int, service: str, route: str, work_s: float, shared: bool
+        self,
+        token: int,
+        service: str,
+        route: str,
+        work_s: float,
+        shared: bool,
+        wait_s: float,
     ) -> None:
         self.token = token
         self.service = service
         self.route = route
         self.work_s = work_s
         self.shared = shared
+        self.wait_s = wait_s
 
 
 class PlaceOffer(Record):
--- a/src/crocusward/placing/_book.py
+++ b/src/crocusward/placing/_book.py
@@ -1,11 +1,13 @@
 """The loads of all backend servers, by service."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from ..desired import BackendEntry, Directory
 from ..neighbours import HostReport
 from ._load import BackendLoad
 
+IDLE_MEMORY_S = 2.5  # digests come about once a second
+
 
 class LoadBook:
     """Follows the list of backend servers and the reports of neighbours.
@@ -16,7 +18,7 @@
         unix_ms: Clock of the day, in milliseconds.
     """
 
-    __slots__ = ("loads", "by_service", "_directory", "_now", "_unix_ms", "_cold_s")
+    __slots__ = ("loads", "by_service", "_directory", "_now", "_unix_ms", "_idle")
 
     def __init__(
         self,
@@ -26,6 +28,7 @@
     ) -> None:
         self.loads: dict[str, BackendLoad] = {}
         self.by_service: dict[str, list[BackendLoad]] = {}
+        self._idle: dict[tuple[str, str], tuple[float, float]] = {}
         self._directory = directory
         self._now = now
         self._unix_ms = unix_ms
@@ -113,6 +116,35 @@
                 touched.add(load.entry.service)
         return touched
 
+    def take_idle(self, data_centre: str, idle: Mapping[str, int]) -> None:
+        """Take over the share of idle servers that a data centre reports."""
+        now_s = self._now()
+        for service, percent in idle.items():
+            self._idle[(data_centre, service)] = (percent / 100.0, now_s)
+
+    def idle_elsewhere(self, data_centre: str, service: str, now_s: float) -> float:
+        """Return the share of idle servers of another data centre, 0 if unknown."""
+        share, known_s = self._idle.get((data_centre, service), (0.0, -1e9))
+        return share if now_s - known_s < IDLE_MEMORY_S else 0.0
+
+    def idle_here(self, data_centre: str) -> dict[str, int]:
+        """Return the percentage of idle servers of a data centre by service."""
+        now_s = self._now()
+        found = {}
+        for service, loads in self.by_service.items():
+            own = [
+                load
+                for load in loads
+                if load.entry.data_centre == data_centre
+                and not load.entry.leaving
+                and not load.misdirected
+                and now_s >= load.closed_until_s
+            ]
+            if own and data_centre not in self._directory.out:
+                idle = sum(load.in_flight(now_s) < 1.0 for load in own)
+                found[service] = 100 * idle // len(own)
+        return found
+
     def forget_host(self, host: str) -> None:
         """Drop the requests of a neighbour that fell silent."""
         now_s = self._now()
--- a/src/crocusward/placing/_placer.py
+++ b/src/crocusward/placing/_placer.py
@@ -15,8 +15,9 @@
 # known here; the link between regions is narrow and billed by volume, the one between
 # data centres is billed less.
 OTHER_DATA_CENTRE = 0.4
-OTHER_REGION = 0.9
+OTHER_REGION = 1.2
 CONNECT_S = 0.004  # cost of a new connection: a handshake at the server, and its price
+IDLE_ELSEWHERE = 0.3  # share of idle servers from which another data centre has room
 UNTRIED_BONUS_S = 0.02  # new servers get their first request soon
 BLAME_WEIGHT = 3.0  # times the work, for each recent failure
 COLD_FACTOR = 2.0  # work on a cold server takes about twice as long
@@ -111,6 +112,7 @@
         free: Servers that could take the request.
         idle: Share of the usable servers that have no request.
         patience_s: How long waiting for a server of its own is worth it.
+        near_by: Usable servers of this data centre.
         begun_s: When the request was counted at the server, or None.
     """
 
@@ -123,6 +125,7 @@
         "free",
         "idle",
         "patience_s",
+        "near_by",
         "begun_s",
     )
 
@@ -136,6 +139,7 @@
         free: int = 0,
         idle: float = 0.0,
         patience_s: float = 0.0,
+        near_by: int = 0,
     ) -> None:
         self.verdict = verdict
         self.load = load
@@ -145,6 +149,7 @@
         self.free = free
         self.idle = idle
         self.patience_s = patience_s
+        self.near_by = near_by
         self.begun_s: float | None = None
 
     def take(self, other: "Choice") -> None:
@@ -233,6 +238,7 @@
         best_score_s = best_time_s = 1e18
         best_count = 0.0
         usable = near_by = free = idle = 0
+        rate = 0.0
         for load in self._book.by_service.get(req.service, ()):
             if not self.is_allowed(load, req.route):
                 continue
@@ -243,7 +249,10 @@
                 continue
             usable += 1
             near_by += is_own
+            rate += load.entry.slots / sharing if is_own else 0.0
             count = load.in_flight(now_s)
+            if not is_own:
+                count = max(count, self._least_count(load, now_s))
             idle += count < 1.0
             if load.entry.data_centre in avoid:
                 continue
@@ -261,21 +270,28 @@
                 self._spread(NO_BACKEND_RETRY_S),
                 code="no_backend",
             )
-        wait_s = self._wait_s(req, near_by or usable, ahead)
+        wait_s = self._wait_s(req, rate or float(usable), ahead)
         patience_s = self._patience_s(req, sharing, now_s)
         share = idle / usable
         if best is None or (ahead and best_count >= 1.0):
             self._check_time(req, wait_s, now_s)
-            return Choice(Verdict.WAIT, None, 0.0, 0.0, wait_s, free, share, patience_s)
+            if best is None:
+                patience_s = max(MIN_WAIT_S, req.deadline_s - now_s - req.work_s)
+            return Choice(
+                Verdict.WAIT, None, 0.0, 0.0, wait_s, free, share, patience_s, near_by
+            )
         is_shared = best_count >= 1.0
         slack_s = req.objective_s - now_s - best_time_s
         if (
             may_wait
+            and near_by
             and is_shared
             and wait_s + req.work_s < best_score_s
             and slack_s > 0.0
         ):
-            return Choice(Verdict.WAIT, None, 0.0, 0.0, wait_s, free, share, patience_s)
+            return Choice(
+                Verdict.WAIT, None, 0.0, 0.0, wait_s, free, share, patience_s, near_by
+            )
         return Choice(
             Verdict.PLACE,
             best,
@@ -285,8 +301,15 @@
             free,
             share,
             patience_s,
+            near_by,
         )
 
+    def _least_count(self, load: BackendLoad, now_s: float) -> float:
+        """Return the requests to expect at a server of another data centre."""
+        entry = load.entry
+        share = self._book.idle_elsewhere(entry.data_centre, entry.service, now_s)
+        return 0.0 if share >= IDLE_ELSEWHERE else 1.0
+
     def _is_open(self, load: BackendLoad, req: PlaceRequest, now_s: float) -> bool:
         if now_s < load.closed_until_s or load.entry.id in req.excluded:
             return False
@@ -352,8 +375,15 @@
         slack_s = req.objective_s - now_s - req.work_s * sharing
         return max(MIN_WAIT_S, min(cost_s, slack_s))
 
-    def _wait_s(self, req: PlaceRequest, usable: int, ahead: int) -> float:
-        return max(MIN_WAIT_S, req.work_s / usable * (1.0 + ahead))
+    def _wait_s(self, req: PlaceRequest, rate: float, ahead: int) -> float:
+        """Return the wait behind others.
+
+        Args:
+            req: The request.
+            rate: Requests that the servers in reach finish within the work of one.
+            ahead: Waiting requests that go before it.
+        """
+        return max(MIN_WAIT_S, req.work_s / rate * (1.0 + ahead))
 
     def _check_time(self, req: PlaceRequest, wait_s: float, now_s: float) -> None:
         left_s = req.deadline_s - now_s
--- a/src/crocusward/placing/_queue.py
+++ b/src/crocusward/placing/_queue.py
@@ -12,22 +12,22 @@
     Attributes:
         req: What is to be placed.
         since_s: When it began to wait.
-        patience_s: How long it waits for a server of its own.
+        shares: Whether a server that has a request already will do.
         fut: Gets the choice, or the refusal as exception.
     """
 
-    __slots__ = ("req", "since_s", "patience_s", "fut")
+    __slots__ = ("req", "since_s", "shares", "fut")
 
     def __init__(
         self,
         req: PlaceRequest,
         since_s: float,
-        patience_s: float,
+        shares: bool,
         fut: "asyncio.Future[Choice]",
     ) -> None:
         self.req = req
         self.since_s = since_s
-        self.patience_s = patience_s
+        self.shares = shares
         self.fut = fut
 
 
--- a/src/crocusward/relay/_places.py
+++ b/src/crocusward/relay/_places.py
@@ -20,7 +20,6 @@
 
 QUEUE_CHECK_S = 0.03  # catches room that no report announced
 KEEP_FACTOR = 1.2  # times the expected time for which a place of another host counts
-MAX_ASKS = 2  # data centres asked for one request before it waits or shares
 MIN_SEND_S = 0.01  # less time at a server is no use
 FULL = ""  # answer of a data centre that has no room
 
@@ -32,7 +31,7 @@
         """Report a change at a backend server."""
 
     async def ask(
-        self, place: PlaceRequest, data_centre: str, shared: bool
+        self, place: PlaceRequest, data_centre: str, shared: bool, wait_s: float
     ) -> str | None:
         """Ask a host of another data centre for a place at a server there.
 
@@ -40,6 +39,7 @@
             place: The request.
             data_centre: The data centre.
             shared: Whether a server that has a request already will do.
+            wait_s: How long the request may wait there.
 
         Returns:
             The id of the server, ``FULL``, or None if no answer came in time.
@@ -115,35 +115,54 @@
             choice = self._placer.choose(
                 place, now_s, ahead=ahead, may_wait=is_patient, avoid=full
             )
-            if choice.load is None:
-                if await self._wait(place, queue, choice, now_s):
+            load = choice.load
+            if load is None:
+                if await self._wait(place, queue, choice, not is_patient):
                     return choice
                 is_patient = False
                 full.clear()
-                continue
-            data_centre = choice.load.entry.data_centre
-            if data_centre == self._data_centre:
-                return choice
-            if len(full) >= MAX_ASKS:
-                return choice
-            shared = not is_patient or bool(full)
-            id = await self._announcer.ask(place, data_centre, shared)
-            if id is None:
+            elif load.entry.data_centre == self._data_centre:
                 return choice
-            found = self._book.loads.get(id)
-            if found is None or id in place.excluded:
-                full.add(data_centre)
-                continue
-            if self._placer.is_allowed(found, place.route):
-                choice.load = found
-            return choice
+            else:
+                found = await self._ask(place, choice, is_patient)
+                if found is not None:
+                    return found
+                full.add(load.entry.data_centre)
+                # Whoever must leave the data centre shares a server at the next try.
+                is_patient = is_patient and choice.near_by > 0
+
+    async def _ask(
+        self, place: PlaceRequest, choice: Choice, is_patient: bool
+    ) -> Choice | None:
+        """Ask for a place in the data centre of a choice; None if it has none.
+
+        A request with servers here takes only an idle server there, at once. One that
+        must leave waits there, in the order of that data centre.
+        """
+        assert choice.load is not None
+        wait_s = 0.0
+        if not choice.near_by:
+            left_s = place.deadline_s - self._timer.now() - place.work_s
+            wait_s = min(choice.patience_s, left_s) if is_patient else left_s
+        shared = not is_patient and not choice.near_by
+        data_centre = choice.load.entry.data_centre
+        id = await self._announcer.ask(place, data_centre, shared, max(0.0, wait_s))
+        if id is None:
+            return None if choice.near_by else choice
+        found = self._book.loads.get(id)
+        if found is None or id in place.excluded:
+            return None
+        if self._placer.is_allowed(found, place.route):
+            choice.load = found
+        return choice
 
     async def _wait(
-        self, place: PlaceRequest, queue: RequestQueue, choice: Choice, now_s: float
+        self, place: PlaceRequest, queue: RequestQueue, choice: Choice, shares: bool
     ) -> bool:
         """Wait for room here; return False when waiting longer does not pay."""
+        now_s = self._timer.now()
         fut: asyncio.Future[Choice] = asyncio.get_running_loop().create_future()
-        item = QueuedRequest(place, now_s, choice.patience_s, fut)
+        item = QueuedRequest(place, now_s, shares, fut)
         queue.add(item)
         self._check_later()
         self._sampler.log(
@@ -179,7 +198,9 @@
                 queue.discard(item)
                 continue
             try:
-                choice = self._placer.choose(item.req, now_s, own_data_centre=True)
+                choice = self._placer.choose(
+                    item.req, now_s, may_wait=not item.shares, own_data_centre=True
+                )
             except Refused as exc:
                 if exc.code == "no_backend":
                     continue  # servers elsewhere may do; its patience decides
@@ -210,34 +231,56 @@
 
     # Places for other data centres.
 
-    def offer(self, service: str, route_name: str, work_s: float, shared: bool) -> str:
+    async def offer(
+        self, service: str, route_name: str, work_s: float, shared: bool, wait_s: float
+    ) -> str:
         """Keep a place for a host of another data centre.
 
+        Args:
+            service: Name of the service.
+            route_name: Name of the route.
+            work_s: Expected time of the request.
+            shared: Whether a server that has a request already will do.
+            wait_s: How long the request may wait here.
+
         Returns:
             The id of the backend server, or ``FULL``.
         """
         now_s = self._timer.now()
         state = self._directory.state
         route = state.route_named(route_name) if state else None
-        if route is None or (self.has_waiting(service) and not shared):
+        if route is None:
             return FULL
         place = PlaceRequest(
             "",
             route,
             service,
             objective_s=now_s + route.objective_s,
-            deadline_s=now_s + route.timeout_s,
+            deadline_s=now_s + wait_s + work_s + MIN_SEND_S,
             work_s=work_s,
         )
+        queue = self._queues.setdefault(service, RequestQueue())
         try:
             choice = self._placer.choose(
-                place, now_s, may_wait=False, own_data_centre=True
+                place,
+                now_s,
+                ahead=queue.ahead_of(place, now_s),
+                may_wait=not shared,
+                own_data_centre=True,
             )
+            if choice.load is None or (choice.in_flight >= 1.0 and not shared):
+                choice.load = None
+                choice.patience_s = wait_s
+                if wait_s <= 0.0 or not await self._wait(place, queue, choice, shared):
+                    return FULL
         except Refused:
             return FULL
         load = choice.load
-        if load is None or (choice.in_flight >= 1.0 and not shared):
+        if load is None:
             return FULL
+        now_s = self._timer.now()
+        if choice.begun_s is not None:
+            load.end(choice.begun_s)
         load.keep_place(now_s)
         kept_s = KEEP_FACTOR * max(work_s, choice.expected_s)
         self._timer.call_later(kept_s, lambda: self._end_offer(load, now_s))
--- a/tests/entry_support.py
+++ b/tests/entry_support.py
@@ -66,7 +66,7 @@
     def announce(self, load, seen):
         self.seen.append((load.entry.id, seen))
 
-    async def ask(self, place, data_centre, shared):
+    async def ask(self, place, data_centre, shared, wait_s):
         return None
 
 
