Probe the pace of the best servers before a choice; measure sharing by placement

Cause: a third of the servers are slowed five times for 150 ms at a time, and reports in answers are older than that; the cost of sharing was measured too high, as long requests meet others more often, so that requests waited in vain. Change: up to three probes over open connections where they cost little beside what they save; sharing is measured from the choice with logarithms.

--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -32,6 +32,7 @@
     CallerAnswer,
     CallerRequest,
     Listener,
+    PaceProber,
     PlaceFinder,
     Relay,
     refusal,
@@ -145,6 +146,7 @@
         self.retries = RetryAllowance(
             bounds.retry_ratio, bounds.retry_reserve, bounds.retry_window_s
         )
+        link = BackendLink(self._backend_pool)
         placer = Placer(
             self.directory,
             self.book,
@@ -161,6 +163,7 @@
             self.hub,
             self.sampler,
             facts.data_centre,
+            PaceProber(self.timer, self.directory, times, link),
         )
         self.relay = Relay(
             self.timer,
@@ -170,7 +173,7 @@
             placer,
             self.places,
             self.retries,
-            BackendLink(self._backend_pool),
+            link,
             self.hub,
             self.sampler,
             facts.limits.memory_mb,
--- a/src/crocusward/placing/_load.py
+++ b/src/crocusward/placing/_load.py
@@ -19,6 +19,9 @@
 COLD_WINDOW_S = 1.0  # span over which requests to a cold server are counted
 
 
+_OF_REQUESTS = frozenset({SightingKind.ANSWERED, SightingKind.FAILED})
+
+
 class BackendLoad:
     """Load and health of one backend server.
 
@@ -139,8 +142,10 @@
     def observe(self, seen: Sighting, now_s: float) -> None:
         """Take over what this host or a neighbour learned."""
         if seen.running >= 0:
-            # The report counts the request that it answers, which has ended by now.
-            known = self.own + self._neighbour_sum + 1
+            known = self.own + self._neighbour_sum
+            if seen.kind in _OF_REQUESTS:
+                # The report counts the request that it answers, which has ended.
+                known += 1
             self._others = max(0.0, float(seen.running + seen.waiting - known))
             self._others_s = now_s
         if seen.pace > 0.0:
@@ -203,6 +208,10 @@
             return 0.0
         return left_s * (usual_speed - 1.0 / self._pace)
 
+    def pace_age_s(self, now_s: float) -> float:
+        """Return the age of the last reported pace."""
+        return now_s - self._pace_s
+
     def silent_for_s(self, now_s: float) -> float:
         """Return for how long a request of this host has seen no sign of life.
 
--- a/src/crocusward/placing/_placer.py
+++ b/src/crocusward/placing/_placer.py
@@ -18,6 +18,7 @@
 OTHER_REGION = 1.2
 CONNECT_S = 0.004  # cost of a new connection: a handshake at the server, and its price
 IDLE_ELSEWHERE = 0.3  # share of idle servers from which another data centre has room
+RUNNERS_UP = 3  # servers of a choice that are compared by probes
 UNTRIED_BONUS_S = 0.02  # new servers get their first request soon
 BLAME_WEIGHT = 3.0  # times the work, for each recent failure
 COLD_FACTOR = 2.0  # work on a cold server takes about twice as long
@@ -113,6 +114,7 @@
         idle: Share of the usable servers that have no request.
         patience_s: How long waiting for a server of its own is worth it.
         near_by: Usable servers of this data centre.
+        runners_up: Other servers with room here, the best first.
         begun_s: When the request was counted at the server, or None.
     """
 
@@ -126,6 +128,7 @@
         "idle",
         "patience_s",
         "near_by",
+        "runners_up",
         "begun_s",
     )
 
@@ -150,6 +153,7 @@
         self.idle = idle
         self.patience_s = patience_s
         self.near_by = near_by
+        self.runners_up: list[BackendLoad] = []
         self.begun_s: float | None = None
 
     def take(self, other: "Choice") -> None:
@@ -239,6 +243,7 @@
         best_count = 0.0
         usable = near_by = free = idle = 0
         rate = 0.0
+        scored: list[tuple[float, str, BackendLoad]] = []
         for load in self._book.by_service.get(req.service, ()):
             if not self.is_allowed(load, req.route):
                 continue
@@ -261,6 +266,8 @@
             free += 1
             time_s = self._time_s(load, req, count, sharing, speed, now_s)
             score_s = time_s + self._extra_s(load, req, count, sharing, now_s)
+            if is_own:
+                scored.append((score_s, load.entry.id, load))
             if score_s < best_score_s:
                 best, best_score_s, best_time_s = load, score_s, time_s
                 best_count = count
@@ -292,7 +299,7 @@
             return Choice(
                 Verdict.WAIT, None, 0.0, 0.0, wait_s, free, share, patience_s, near_by
             )
-        return Choice(
+        choice = Choice(
             Verdict.PLACE,
             best,
             best_count,
@@ -303,6 +310,9 @@
             patience_s,
             near_by,
         )
+        scored.sort()
+        choice.runners_up = [item[2] for item in scored[1:RUNNERS_UP]]
+        return choice
 
     def _least_count(self, load: BackendLoad, now_s: float) -> float:
         """Return the requests to expect at a server of another data centre."""
--- a/src/crocusward/placing/_work.py
+++ b/src/crocusward/placing/_work.py
@@ -1,12 +1,19 @@
 """How long requests of each route take on an idle backend server."""
 
+import math
+
+from ._load import PACE_MEMORY_S
+
 GAIN = 0.08  # weight of the newest answer
 FIRST_SAMPLES = 12  # that weigh equally
 START_SHARE = 1.0 / 3.0  # of the objective; operators set objectives at a few times it
 MAX_OUTLIER = 4.0  # times the average; a stuck server must not move it
-START_SHARING = 1.3  # slowdown of a server with more than one request, until measured
+START_SHARING = 1.15  # slowdown of a server with more than one request, until measured
 MAX_SHARING = 3.0
-MIN_SHARING_SAMPLES = 10
+MIN_SHARING_SAMPLES = 20
+OVERLAP = 1.5  # the measured slowdown to that of sharing throughout
+LOG_GAIN = 0.03  # weight of the newest answer
+MIN_RATIO = 0.01
 TIMEOUT_BLAME = 2.5  # times the usual time of the route
 PACE_GAIN = 0.02
 
@@ -29,6 +36,22 @@
         self.value += gain * (sample - self.value)
 
 
+class _LogMean:
+    """Mean of logarithms; slow outliers hardly move it."""
+
+    __slots__ = ("value", "samples")
+
+    def __init__(self) -> None:
+        self.value = 0.0
+        self.samples = 0
+
+    def add(self, ratio: float) -> None:
+        """Add a ratio above 0."""
+        self.samples += 1
+        gain = max(LOG_GAIN, 1.0 / self.samples)
+        self.value += gain * (math.log(ratio) - self.value)
+
+
 class WorkTimes:
     """Learns work by route, the cost of sharing by service, and the usual pace."""
 
@@ -36,8 +59,8 @@
 
     def __init__(self) -> None:
         self._work: dict[tuple[str, str], _Mean] = {}
-        self._alone: dict[str, _Mean] = {}
-        self._shared: dict[str, _Mean] = {}
+        self._alone: dict[str, _LogMean] = {}
+        self._shared: dict[str, _LogMean] = {}
         self._speed: dict[str, _Mean] = {}
 
     def work_s(self, service: str, route: str, objective_s: float) -> float:
@@ -51,13 +74,19 @@
         shared = self._shared.get(service)
         if alone is None or shared is None or shared.samples < MIN_SHARING_SAMPLES:
             return START_SHARING
-        return min(MAX_SHARING, max(1.0, shared.value / alone.value))
+        # On average a shared request has company for about half of its time.
+        measured = math.exp(shared.value - alone.value)
+        return min(MAX_SHARING, max(1.0, 1.0 + OVERLAP * (measured - 1.0)))
 
     def usual_speed(self, service: str) -> float:
         """Return the average work per time of the servers' machines."""
         mean = self._speed.get(service)
         return mean.value if mean else 1.0
 
+    def pace_gain_s(self, service: str) -> float:
+        """Return the time that a server with a good pace saves on average."""
+        return (1.0 - self.usual_speed(service)) * PACE_MEMORY_S / 2.0
+
     def observe_pace(self, service: str, pace: float) -> None:
         """Add a reported pace, the time that work takes relative to the usual."""
         mean = self._speed.setdefault(service, _Mean(1.0 / pace))
@@ -88,12 +117,14 @@
             route: Name of the route.
             objective_s: Objective of the route.
             took_s: From the request to its answer.
-            filled: Whether the request took the last free slot of the server.
+            filled: Whether the request took the last free slot of the server. What
+                the server runs at the end must not count: long requests meet others
+                more often.
         """
         usual_s = self.work_s(service, route, objective_s)
         ratio = took_s / usual_s if usual_s > 0.0 else 1.0
         group = self._shared if filled else self._alone
-        group.setdefault(service, _Mean(1.0)).add(ratio)
+        group.setdefault(service, _LogMean()).add(max(MIN_RATIO, ratio))
         if filled:
             return ratio / self.sharing(service)
         self._work.setdefault((service, route), _Mean(usual_s)).add(took_s)
--- a/src/crocusward/relay/__init__.py
+++ b/src/crocusward/relay/__init__.py
@@ -6,6 +6,7 @@
 from ._messages import CallerAnswer, CallerRequest, refusal
 from ._pipeline import Relay
 from ._places import FULL, PlaceFinder
+from ._probing import PaceProber
 
 __all__ = [
     "FULL",
@@ -16,6 +17,7 @@
     "Exchange",
     "ExchangeEnd",
     "Listener",
+    "PaceProber",
     "PlaceFinder",
     "Relay",
     "refusal",
--- a/src/crocusward/relay/_exchange.py
+++ b/src/crocusward/relay/_exchange.py
@@ -8,6 +8,7 @@
 from ..neighbours import Sighting, SightingKind
 from ..placing import BackendLoad
 from ..platform import (
+    BACKEND_ID,
     BACKEND_LOAD,
     BODY_DIGEST,
     COLD_LEFT,
@@ -144,6 +145,29 @@
             )
         return _read(entry.id, answer, req)
 
+    async def probe(
+        self, load: BackendLoad, path: str, timeout_s: float
+    ) -> Sighting | None:
+        """Ask a server for its load; None if no answer of that server came."""
+        address, port = load.entry.address
+        try:
+            answer = await self._pool.request(
+                address, port, "GET", path, timeout_s=timeout_s, limit_bytes=4096
+            )
+        except (NotSentError, ExchangeLostError):
+            return None
+        finally:
+            load.idle_connections = self.idle_connections(load)
+        seen = Sighting(load.entry.id, SightingKind.REFUSED)
+        for name, value in answer.headers:
+            if name == BACKEND_LOAD:
+                _read_load(value, seen)
+            elif name == COLD_LEFT and value.isdigit():
+                seen.cold_left_s = int(value) / MS_PER_S
+            elif name == BACKEND_ID and value.decode("latin-1") != load.entry.id:
+                return None
+        return seen
+
     def _learn_idle_limit(self, service: str, exc: ExchangeLostError) -> None:
         """Reuse connections of a service for less time after one proved dead."""
         if exc.reused and "broke" in str(exc) and exc.idle_s > 0.0:
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -353,7 +353,7 @@
                 seen.kind = SightingKind.REFUSED
         if not result.is_good or load.is_cold(begun_s):
             return
-        filled = max(choice.in_flight + 1.0, seen.running) >= load.entry.slots
+        filled = choice.in_flight + 1.0 >= load.entry.slots
         ratio = self._times.observe(
             call.place.service,
             call.place.route.name,
--- a/src/crocusward/relay/_places.py
+++ b/src/crocusward/relay/_places.py
@@ -17,6 +17,7 @@
     RequestQueue,
 )
 from ..timing import TimerService
+from ._probing import PaceProber
 
 QUEUE_CHECK_S = 0.03  # catches room that no report announced
 KEEP_FACTOR = 1.2  # times the expected time for which a place of another host counts
@@ -60,9 +61,11 @@
         announcer: Tells and asks others.
         sampler: Logs decisions.
         data_centre: Data centre of this host.
+        prober: Refreshes the pace of servers before a choice, or None.
     """
 
     __slots__ = (
+        "_prober",
         "_timer",
         "_directory",
         "_book",
@@ -83,7 +86,9 @@
         announcer: Announcer,
         sampler: EventSampler,
         data_centre: str,
+        prober: PaceProber | None = None,
     ) -> None:
+        self._prober = prober
         self._timer = timer
         self._directory = directory
         self._book = book
@@ -106,6 +111,7 @@
         """
         full: set[str] = set()
         is_patient = True
+        is_fresh = True
         while True:
             now_s = self._timer.now()
             if now_s + MIN_SEND_S >= place.deadline_s:
@@ -122,6 +128,10 @@
                 is_patient = False
                 full.clear()
             elif load.entry.data_centre == self._data_centre:
+                if self._prober is not None and is_fresh:
+                    is_fresh = False
+                    if await self._prober.refresh(choice, place.service):
+                        continue
                 return choice
             else:
                 found = await self._ask(place, choice, is_patient)
