Give places of other data centres back; keep failing servers open when most fail

Cause: places kept for other data centres outlasted their requests, so that 70% of the questions were answered with no room while slots were free; when a fault hits most servers of a service, closing them left no room either. Change: a datagram gives the place back; above 40% of failing servers their failures do not close them; foreign load counts for 0.15 s instead of 0.3 s.

--- a/src/crocusward/entryd/_hub.py
+++ b/src/crocusward/entryd/_hub.py
@@ -16,11 +16,13 @@
     NeighbourEndpoint,
     NeighbourTable,
     PlaceAsk,
+    PlaceDone,
     PlaceOffer,
     Sighting,
 )
 from ..placing import BackendLoad, LoadBook, PlaceRequest
 from ..platform import ListedDaemon
+from ..relay import KeptPlace
 from ..timing import Subscription, TimerService
 
 REPORT_PERIOD_S = 0.25  # three missed ones are silence
@@ -53,6 +55,7 @@
         on_room: Called with services that may have room.
         on_report: Called after each report.
         offer: Keeps a place at a backend server here for another data centre.
+        end_offer: Gives such a place back.
     """
 
     __slots__ = (
@@ -71,6 +74,7 @@
         "_on_room",
         "_on_report",
         "_offer",
+        "_end_offer",
         "_asked",
         "_answering",
         "_ask_s",
@@ -100,7 +104,8 @@
         store_age_s: Callable[[], float],
         on_room: Callable[[str], None],
         on_report: Callable[[], None],
-        offer: Callable[[str, str, float, bool, float], Awaitable[str]],
+        offer: Callable[..., Awaitable[str]],
+        end_offer: Callable[[tuple[str, int]], None],
     ) -> None:
         self.leaving = False
         self._facts = facts
@@ -116,6 +121,7 @@
         self._on_room = on_room
         self._on_report = on_report
         self._offer = offer
+        self._end_offer = end_offer
         self._answering: set[asyncio.Task[None]] = set()
         self._asked: dict[int, asyncio.Future[str]] = {}
         self._ask_s: dict[str, float] = {}
@@ -211,6 +217,8 @@
             )
             self._answering.add(task)
             task.add_done_callback(self._answering.discard)
+        elif isinstance(message, PlaceDone):
+            self._end_offer((sender, message.token))
         elif isinstance(message, PlaceOffer):
             fut = self._asked.get(message.token)
             if fut is not None and not fut.done():
@@ -263,11 +271,11 @@
 
     async def ask(
         self, place: PlaceRequest, data_centre: str, shared: bool, wait_s: float
-    ) -> str | None:
+    ) -> KeptPlace | None:
         """Ask a host of another data centre for a place at a server there.
 
         Returns:
-            The id of the server, "" if there is no room, or None if no answer came.
+            The place, or None if no answer came in time.
         """
         now_s = self._timer.now()
         hosts = [
@@ -311,11 +319,20 @@
             backend=found,
             took_s=took_s,
         )
-        return found
+        return KeptPlace(found, host.address, token)
+
+    def release(self, kept: KeptPlace) -> None:
+        """Give a place of another data centre back."""
+        self._endpoint.send(PlaceDone(kept.token), [kept.address])
 
     async def _answer_ask(self, ask: PlaceAsk, sender: str) -> None:
         found = await self._offer(
-            ask.service, ask.route, ask.work_s, ask.shared, ask.wait_s
+            (sender, ask.token),
+            ask.service,
+            ask.route,
+            ask.work_s,
+            ask.shared,
+            ask.wait_s,
         )
         self._endpoint.send(PlaceOffer(ask.token, found), [sender])
 
--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -140,6 +140,7 @@
             lambda service: self.relay.room_changed(service),
             lambda: self.rows.check(),
             lambda *ask: self.places.offer(*ask),
+            lambda key: self.places.end_offer(key),
         )
         times = WorkTimes()
         bounds = facts.bounds
--- a/src/crocusward/neighbours/_codec.py
+++ b/src/crocusward/neighbours/_codec.py
@@ -12,6 +12,7 @@
     KnownHost,
     LoadDigest,
     PlaceAsk,
+    PlaceDone,
     PlaceOffer,
     Sighting,
     SightingKind,
@@ -24,8 +25,11 @@
 ASK = 4
 OFFER = 5
 DIGEST = 6
+DONE = 7
 
-Message = Hello | Introduction | HostReport | PlaceAsk | PlaceOffer | LoadDigest
+Message = (
+    Hello | Introduction | HostReport | PlaceAsk | PlaceOffer | PlaceDone | LoadDigest
+)
 
 
 class MessageError(CrocusError):
@@ -52,6 +56,8 @@
                 int(message.wait_s * MS_PER_S),
             ]
         )
+    if isinstance(message, PlaceDone):
+        return cbor2.dumps([DONE, message.token])
     if isinstance(message, LoadDigest):
         return cbor2.dumps([DIGEST, message.data_centre, message.idle])
     if isinstance(message, PlaceOffer):
@@ -106,6 +112,8 @@
                 bool(shared),
                 int(wait_ms) / MS_PER_S,
             )
+        if kind == DONE:
+            return PlaceDone(int(fields[1]))
         if kind == DIGEST:
             return _decode_digest(fields[1:])
         if kind == OFFER:
--- a/src/crocusward/neighbours/_messages.py
+++ b/src/crocusward/neighbours/_messages.py
@@ -206,6 +206,19 @@
         self.backend = backend
 
 
+class PlaceDone(Record):
+    """Gives a place back that a PlaceOffer named.
+
+    Attributes:
+        token: Number of the question.
+    """
+
+    __slots__ = ("token",)
+
+    def __init__(self, token: int) -> None:
+        self.token = token
+
+
 class Introduction(Record):
     """Answers a Hello.
 
--- a/src/crocusward/placing/_load.py
+++ b/src/crocusward/placing/_load.py
@@ -6,7 +6,7 @@
 from ..neighbours import Sighting, SightingKind
 
 PACE_MEMORY_S = 0.15  # shared machines change their pace many times a second
-OTHERS_MEMORY_S = 0.3  # about the time of one request
+OTHERS_MEMORY_S = 0.15  # about the time of one request
 SLOWNESS_GAIN = 0.3  # weight of the newest answer
 SLOWNESS_HALF_LIFE_S = 4.0  # a slow server is tried again within seconds
 MIN_SLOWNESS = 0.5
@@ -32,6 +32,7 @@
         neighbours: Requests of neighbours in flight there, by host.
         tried: Whether any host of the data centre has sent to it.
         misdirected: Whether another server answered at its address.
+        is_unreachable: Whether the last connection to it failed.
         closed_until_s: Until when it gets nothing.
         cold_until_s: Until when it is cold.
         idle_connections: Open unused connections of this host to it.
@@ -45,6 +46,7 @@
         "neighbours",
         "tried",
         "misdirected",
+        "is_unreachable",
         "closed_until_s",
         "cold_until_s",
         "idle_connections",
@@ -70,6 +72,7 @@
         self.neighbours: dict[str, int] = {}
         self.tried = False
         self.misdirected = False
+        self.is_unreachable = False
         self.closed_until_s = -1.0
         self.cold_until_s = -1.0
         self.idle_connections = 0
@@ -156,6 +159,7 @@
         kind = seen.kind
         if kind is SightingKind.ANSWERED:
             self._answered_s = now_s
+            self.is_unreachable = False
             self._blame = self.blame(now_s) * BLAME_ON_SUCCESS
             self._blame_s = now_s
             self._closings = 0
@@ -163,6 +167,7 @@
         elif kind is SightingKind.MISDIRECTED:
             self.misdirected = True
         elif kind is SightingKind.UNREACHABLE:
+            self.is_unreachable = True
             self._add_blame(2.0, now_s)
         elif kind is not SightingKind.REFUSED:
             self._add_blame(1.0, now_s)
--- a/src/crocusward/placing/_placer.py
+++ b/src/crocusward/placing/_placer.py
@@ -1,7 +1,7 @@
 """Chooses a backend server, or says that a request should wait or be refused."""
 
 import random
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from enum import Enum
 
 from ..desired import Directory, RouteRule, ServiceRule
@@ -18,6 +18,9 @@
 OTHER_REGION = 1.2
 CONNECT_S = 0.004  # cost of a new connection: a handshake at the server, and its price
 IDLE_ELSEWHERE = 0.3  # share of idle servers from which another data centre has room
+# Share of failing servers above which their failures say nothing of a single one, and
+# closing them would only move their load to the rest.
+PANIC_SHARE = 0.4
 RUNNERS_UP = 3  # servers of a choice that are compared by probes
 UNTRIED_BONUS_S = 0.02  # new servers get their first request soon
 BLAME_WEIGHT = 3.0  # times the work, for each recent failure
@@ -115,6 +118,7 @@
         patience_s: How long waiting for a server of its own is worth it.
         near_by: Usable servers of this data centre.
         runners_up: Other servers with room here, the best first.
+        release: Gives back a place that another data centre keeps, or None.
         begun_s: When the request was counted at the server, or None.
     """
 
@@ -129,31 +133,24 @@
         "patience_s",
         "near_by",
         "runners_up",
+        "release",
         "begun_s",
     )
 
     def __init__(
-        self,
-        verdict: Verdict,
-        load: BackendLoad | None,
-        in_flight: float = 0.0,
-        expected_s: float = 0.0,
-        wait_s: float = 0.0,
-        free: int = 0,
-        idle: float = 0.0,
-        patience_s: float = 0.0,
-        near_by: int = 0,
+        self, verdict: Verdict, load: BackendLoad | None, *, wait_s: float = 0.0
     ) -> None:
         self.verdict = verdict
         self.load = load
-        self.in_flight = in_flight
-        self.expected_s = expected_s
+        self.in_flight = 0.0
+        self.expected_s = 0.0
         self.wait_s = wait_s
-        self.free = free
-        self.idle = idle
-        self.patience_s = patience_s
-        self.near_by = near_by
+        self.free = 0
+        self.idle = 0.0
+        self.patience_s = 0.0
+        self.near_by = 0
         self.runners_up: list[BackendLoad] = []
+        self.release: Callable[[], None] | None = None
         self.begun_s: float | None = None
 
     def take(self, other: "Choice") -> None:
@@ -162,6 +159,51 @@
             setattr(self, name, getattr(other, name))
 
 
+class _Candidate:
+    """A server with room, and what a request may expect there."""
+
+    __slots__ = ("load", "count", "time_s", "score_s")
+
+    def __init__(
+        self, load: BackendLoad, count: float, time_s: float, score_s: float
+    ) -> None:
+        self.load = load
+        self.count = count
+        self.time_s = time_s
+        self.score_s = score_s
+
+
+class _Survey:
+    """The servers that may run a request.
+
+    Attributes:
+        sharing: How much longer work takes on a server that is shared.
+        usable: Servers that may run it, also those that are full.
+        near_by: Those of them in this data centre.
+        idle: Those of them without a request.
+        rate: Requests that the near ones finish within the time of one.
+        candidates: Servers with room, the best first.
+    """
+
+    __slots__ = ("sharing", "usable", "near_by", "idle", "rate", "candidates")
+
+    def __init__(self, sharing: float) -> None:
+        self.sharing = sharing
+        self.usable = 0
+        self.near_by = 0
+        self.idle = 0
+        self.rate = 0.0
+        self.candidates: list[_Candidate] = []
+
+    def count(self, slots: int, in_flight: float, is_own: bool) -> None:
+        """Count a usable server."""
+        self.usable += 1
+        self.idle += in_flight < 1.0
+        if is_own:
+            self.near_by += 1
+            self.rate += slots / self.sharing
+
+
 class Placer:
     """Places requests by the expected time until the answer.
 
@@ -236,82 +278,99 @@
             raise Refused(
                 "the service is unknown", RETRY_AFTER_MAX_S, code="no_service"
             )
+        survey = self._survey(req, rule, now_s, own_data_centre, avoid)
+        if not survey.usable:
+            raise Refused(
+                "no usable backend server",
+                self._spread(NO_BACKEND_RETRY_S),
+                code="no_backend",
+            )
+        return self._decide(req, survey, now_s, ahead, may_wait)
+
+    def _survey(
+        self,
+        req: PlaceRequest,
+        rule: ServiceRule,
+        now_s: float,
+        own_data_centre: bool,
+        avoid: Collection[str],
+    ) -> "_Survey":
+        """Rate the servers that may run a request."""
         sharing = self._times.sharing(req.service)
         speed = self._times.usual_speed(req.service)
-        best: BackendLoad | None = None
-        best_score_s = best_time_s = 1e18
-        best_count = 0.0
-        usable = near_by = free = idle = 0
-        rate = 0.0
-        scored: list[tuple[float, str, BackendLoad]] = []
-        for load in self._book.by_service.get(req.service, ()):
-            if not self.is_allowed(load, req.route):
-                continue
-            if not self._is_open(load, req, now_s):
-                continue
-            is_own = load.entry.data_centre == self._data_centre
+        survey = _Survey(sharing)
+        allowed = [
+            load
+            for load in self._book.by_service.get(req.service, ())
+            if self.is_allowed(load, req.route)
+        ]
+        closed = sum(now_s < load.closed_until_s for load in allowed)
+        ignores_closing = closed > PANIC_SHARE * len(allowed)
+        for load in allowed:
+            entry = load.entry
+            is_own = entry.data_centre == self._data_centre
             if own_data_centre and not is_own:
                 continue
-            usable += 1
-            near_by += is_own
-            rate += load.entry.slots / sharing if is_own else 0.0
+            if not self._is_open(load, req, now_s, ignores_closing):
+                continue
             count = load.in_flight(now_s)
             if not is_own:
                 count = max(count, self._least_count(load, now_s))
-            idle += count < 1.0
-            if load.entry.data_centre in avoid:
+            survey.count(entry.slots, count, is_own)
+            if entry.data_centre in avoid or count + 1.0 > entry.slots:
                 continue
-            if count + 1.0 > load.entry.slots or not self._bears(load, rule, now_s):
+            if not self._bears(load, rule, now_s):
                 continue
-            free += 1
             time_s = self._time_s(load, req, count, sharing, speed, now_s)
             score_s = time_s + self._extra_s(load, req, count, sharing, now_s)
-            if is_own:
-                scored.append((score_s, load.entry.id, load))
-            if score_s < best_score_s:
-                best, best_score_s, best_time_s = load, score_s, time_s
-                best_count = count
-        if not usable:
-            raise Refused(
-                "no usable backend server",
-                self._spread(NO_BACKEND_RETRY_S),
-                code="no_backend",
-            )
-        wait_s = self._wait_s(req, rate or float(usable), ahead)
-        patience_s = self._patience_s(req, sharing, now_s)
-        share = idle / usable
-        if best is None or (ahead and best_count >= 1.0):
+            survey.candidates.append(_Candidate(load, count, time_s, score_s))
+        if survey.near_by:
+            # The link between regions is for requests that cannot run here.
+            region = self._region
+            survey.candidates = [
+                c for c in survey.candidates if c.load.region == region
+            ]
+        survey.candidates.sort(key=lambda found: found.score_s)
+        return survey
+
+    def _decide(
+        self,
+        req: PlaceRequest,
+        survey: "_Survey",
+        now_s: float,
+        ahead: int,
+        may_wait: bool,
+    ) -> Choice:
+        """Choose between the best server and waiting."""
+        best = survey.candidates[0] if survey.candidates else None
+        rate = survey.rate or float(survey.usable)
+        wait_s = max(MIN_WAIT_S, req.work_s / rate * (1.0 + ahead))
+        choice = Choice(Verdict.WAIT, None, wait_s=wait_s)
+        choice.free = len(survey.candidates)
+        choice.idle = survey.idle / survey.usable
+        choice.near_by = survey.near_by
+        choice.patience_s = self._patience_s(req, survey.sharing, now_s)
+        if best is None:
             self._check_time(req, wait_s, now_s)
-            if best is None:
-                patience_s = max(MIN_WAIT_S, req.deadline_s - now_s - req.work_s)
-            return Choice(
-                Verdict.WAIT, None, 0.0, 0.0, wait_s, free, share, patience_s, near_by
-            )
-        is_shared = best_count >= 1.0
-        slack_s = req.objective_s - now_s - best_time_s
-        if (
-            may_wait
-            and near_by
-            and is_shared
-            and wait_s + req.work_s < best_score_s
-            and slack_s > 0.0
-        ):
-            return Choice(
-                Verdict.WAIT, None, 0.0, 0.0, wait_s, free, share, patience_s, near_by
-            )
-        choice = Choice(
-            Verdict.PLACE,
-            best,
-            best_count,
-            best_time_s,
-            wait_s,
-            free,
-            share,
-            patience_s,
-            near_by,
-        )
-        scored.sort()
-        choice.runners_up = [item[2] for item in scored[1:RUNNERS_UP]]
+            choice.patience_s = max(MIN_WAIT_S, req.deadline_s - now_s - req.work_s)
+            return choice
+        if best.count >= 1.0:
+            if ahead:
+                self._check_time(req, wait_s, now_s)
+                return choice
+            slack_s = req.objective_s - now_s - best.time_s
+            pays = wait_s + req.work_s < best.score_s and slack_s > 0.0
+            if may_wait and survey.near_by and pays:
+                return choice
+        choice.verdict = Verdict.PLACE
+        choice.load = best.load
+        choice.in_flight = best.count
+        choice.expected_s = best.time_s
+        choice.runners_up = [
+            found.load
+            for found in survey.candidates[1:RUNNERS_UP]
+            if found.load.entry.data_centre == self._data_centre
+        ]
         return choice
 
     def _least_count(self, load: BackendLoad, now_s: float) -> float:
@@ -320,8 +379,14 @@
         share = self._book.idle_elsewhere(entry.data_centre, entry.service, now_s)
         return 0.0 if share >= IDLE_ELSEWHERE else 1.0
 
-    def _is_open(self, load: BackendLoad, req: PlaceRequest, now_s: float) -> bool:
-        if now_s < load.closed_until_s or load.entry.id in req.excluded:
+    def _is_open(
+        self, load: BackendLoad, req: PlaceRequest, now_s: float, ignores_closing: bool
+    ) -> bool:
+        if load.entry.id in req.excluded:
+            return False
+        if ignores_closing:
+            return not load.is_unreachable
+        if now_s < load.closed_until_s:
             return False
         if load.is_on_trial(now_s):
             return req.route.idempotent and load.own == 0
@@ -385,16 +450,6 @@
         slack_s = req.objective_s - now_s - req.work_s * sharing
         return max(MIN_WAIT_S, min(cost_s, slack_s))
 
-    def _wait_s(self, req: PlaceRequest, rate: float, ahead: int) -> float:
-        """Return the wait behind others.
-
-        Args:
-            req: The request.
-            rate: Requests that the servers in reach finish within the work of one.
-            ahead: Waiting requests that go before it.
-        """
-        return max(MIN_WAIT_S, req.work_s / rate * (1.0 + ahead))
-
     def _check_time(self, req: PlaceRequest, wait_s: float, now_s: float) -> None:
         left_s = req.deadline_s - now_s
         if wait_s + req.work_s > left_s:
--- a/src/crocusward/relay/__init__.py
+++ b/src/crocusward/relay/__init__.py
@@ -5,7 +5,7 @@
 from ._listener import Listener
 from ._messages import CallerAnswer, CallerRequest, refusal
 from ._pipeline import Relay
-from ._places import FULL, PlaceFinder
+from ._places import FULL, KeptPlace, PlaceFinder
 from ._probing import PaceProber
 
 __all__ = [
@@ -16,6 +16,7 @@
     "CallerRequest",
     "Exchange",
     "ExchangeEnd",
+    "KeptPlace",
     "Listener",
     "PaceProber",
     "PlaceFinder",
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -325,6 +325,8 @@
         begun_s = choice.begun_s
         assert load is not None and begun_s is not None
         load.end(begun_s)
+        if choice.release is not None:
+            choice.release()
         load.idle_connections = self._link.idle_connections(load)
         seen: Sighting | None = None
         if not task.cancelled() and task.exception() is None:
--- a/src/crocusward/relay/_places.py
+++ b/src/crocusward/relay/_places.py
@@ -5,6 +5,7 @@
 
 from ..desired import Directory
 from ..logs import EventSampler
+from ..model import Record
 from ..neighbours import Sighting
 from ..placing import (
     BackendLoad,
@@ -20,11 +21,29 @@
 from ._probing import PaceProber
 
 QUEUE_CHECK_S = 0.03  # catches room that no report announced
-KEEP_FACTOR = 1.2  # times the expected time for which a place of another host counts
+RETRY_S = 0.2  # after which a full data centre may have room
+KEEP_FACTOR = 3.0  # times the expected time for which a place of another host counts
 MIN_SEND_S = 0.01  # less time at a server is no use
 FULL = ""  # answer of a data centre that has no room
 
 
+class KeptPlace(Record):
+    """A place at a backend server that a host of another data centre keeps.
+
+    Attributes:
+        backend: Id of the server, or ``FULL``.
+        address: IP address of the host.
+        token: Number of the question.
+    """
+
+    __slots__ = ("backend", "address", "token")
+
+    def __init__(self, backend: str, address: str, token: int) -> None:
+        self.backend = backend
+        self.address = address
+        self.token = token
+
+
 class Announcer(Protocol):
     """Tells neighbours of requests in flight, and asks other data centres."""
 
@@ -33,7 +52,7 @@
 
     async def ask(
         self, place: PlaceRequest, data_centre: str, shared: bool, wait_s: float
-    ) -> str | None:
+    ) -> KeptPlace | None:
         """Ask a host of another data centre for a place at a server there.
 
         Args:
@@ -43,9 +62,13 @@
             wait_s: How long the request may wait there.
 
         Returns:
-            The id of the server, ``FULL``, or None if no answer came in time.
+            The place, with the server ``FULL`` if there is none, or None if no answer
+            came in time.
         """
 
+    def release(self, kept: KeptPlace) -> None:
+        """Give a place of another data centre back."""
+
 
 class PlaceFinder:
     """Finds places for the requests of this host and of other data centres.
@@ -74,6 +97,7 @@
         "_sampler",
         "_data_centre",
         "_queues",
+        "_kept",
         "_checking",
     )
 
@@ -98,6 +122,7 @@
         self._data_centre = data_centre
         self._queues: dict[str, RequestQueue] = {}
         self._checking = False
+        self._kept: dict[tuple[str, int], BackendLoad] = {}
 
     def has_waiting(self, service: str) -> bool:
         """Return whether requests of a service wait here."""
@@ -137,9 +162,13 @@
                 found = await self._ask(place, choice, is_patient)
                 if found is not None:
                     return found
-                full.add(load.entry.data_centre)
-                # Whoever must leave the data centre shares a server at the next try.
-                is_patient = is_patient and choice.near_by > 0
+                if choice.near_by:
+                    full.add(load.entry.data_centre)
+                elif is_patient:
+                    # The next question accepts a shared server and a longer wait.
+                    is_patient = False
+                else:
+                    raise Refused("no room elsewhere", RETRY_S, code="no_room")
 
     async def _ask(
         self, place: PlaceRequest, choice: Choice, is_patient: bool
@@ -156,14 +185,15 @@
             wait_s = min(choice.patience_s, left_s) if is_patient else left_s
         shared = not is_patient and not choice.near_by
         data_centre = choice.load.entry.data_centre
-        id = await self._announcer.ask(place, data_centre, shared, max(0.0, wait_s))
-        if id is None:
+        kept = await self._announcer.ask(place, data_centre, shared, max(0.0, wait_s))
+        if kept is None:
             return None if choice.near_by else choice
-        found = self._book.loads.get(id)
-        if found is None or id in place.excluded:
+        found = self._book.loads.get(kept.backend)
+        if found is None or kept.backend in place.excluded:
             return None
         if self._placer.is_allowed(found, place.route):
             choice.load = found
+            choice.release = lambda: self._announcer.release(kept)
         return choice
 
     async def _wait(
@@ -184,6 +214,8 @@
             patience_s=choice.patience_s,
         )
         end_s = min(choice.patience_s, place.deadline_s - now_s)
+        if not choice.near_by:
+            end_s = min(end_s, QUEUE_CHECK_S)  # no server here can become free
         try:
             async with asyncio.timeout(max(0.0, end_s)):
                 choice.take(await fut)
@@ -242,11 +274,18 @@
     # Places for other data centres.
 
     async def offer(
-        self, service: str, route_name: str, work_s: float, shared: bool, wait_s: float
+        self,
+        key: tuple[str, int],
+        service: str,
+        route_name: str,
+        work_s: float,
+        shared: bool,
+        wait_s: float,
     ) -> str:
         """Keep a place for a host of another data centre.
 
         Args:
+            key: Address of the host and number of its question.
             service: Name of the service.
             route_name: Name of the route.
             work_s: Expected time of the request.
@@ -278,7 +317,8 @@
                 may_wait=not shared,
                 own_data_centre=True,
             )
-            if choice.load is None or (choice.in_flight >= 1.0 and not shared):
+            is_idle_only = not shared and wait_s <= 0.0
+            if choice.load is None or (choice.in_flight >= 1.0 and is_idle_only):
                 choice.load = None
                 choice.patience_s = wait_s
                 if wait_s <= 0.0 or not await self._wait(place, queue, choice, shared):
@@ -293,12 +333,17 @@
             load.end(choice.begun_s)
         load.keep_place(now_s)
         kept_s = KEEP_FACTOR * max(work_s, choice.expected_s)
-        self._timer.call_later(kept_s, lambda: self._end_offer(load, now_s))
+        self._kept[key] = load
+        self._timer.call_later(kept_s, lambda: self.end_offer(key))
         self._announcer.announce(load, None)
         return load.entry.id
 
-    def _end_offer(self, load: BackendLoad, now_s: float) -> None:
-        load.end(now_s)
+    def end_offer(self, key: tuple[str, int]) -> None:
+        """Give a place back, when the request has ended or its time is over."""
+        load = self._kept.pop(key, None)
+        if load is None:
+            return
+        load.end(-1.0)
         self._announcer.announce(load, None)
         self.room_changed(load.entry.service)
 
