--- /dev/null
+++ b/tests/test_placing.py
@@ -0,0 +1,289 @@
+"""Decisions on where a request runs, when it waits and when it is refused."""
+
+import random
+import unittest
+
+from crocusward.desired import WeightedService
+from crocusward.neighbours import HostReport, Sighting, SightingKind
+from crocusward.placing import (
+    LoadBook,
+    Placer,
+    PlaceRequest,
+    QueuedRequest,
+    Refused,
+    RequestQueue,
+    RetryAllowance,
+    Verdict,
+    WeightedSplit,
+    WorkTimes,
+)
+
+from .entry_support import backend, directory, route
+
+
+class Bench:
+    """A placer over some servers, with a clock that the test sets."""
+
+    def __init__(self, *entries, state=None, unix_ms=0.0):
+        self.now_s = 100.0
+        self.directory = directory(state=state)
+        self.book = LoadBook(self.directory, lambda: self.now_s, lambda: unix_ms)
+        for entry in entries:
+            self.directory.set_backend(entry.id, entry)
+        for load in self.book.loads.values():
+            load.tried = True
+            load.idle_connections = 1
+        self.times = WorkTimes()
+        self.placer = Placer(
+            self.directory, self.book, self.times, "east-a", "east", random.Random(1)
+        )
+
+    def request(self, rule=None, **options):
+        rule = rule or route()
+        options.setdefault("objective_s", self.now_s + rule.objective_s)
+        options.setdefault("deadline_s", self.now_s + rule.timeout_s)
+        options.setdefault("work_s", 0.1)
+        return PlaceRequest("q", rule, "svc", **options)
+
+    def choose(self, rule=None, **options):
+        return self.placer.choose(self.request(rule), self.now_s, **options)
+
+    def see(self, id, kind=SightingKind.ANSWERED, **fields):
+        self.book.loads[id].observe(Sighting(id, kind, **fields), self.now_s)
+
+
+class ChoiceTest(unittest.TestCase):
+    def test_idle_server_goes_before_busy_one(self):
+        """Guards against two requests on one server beside an idle one."""
+        bench = Bench(backend("b1"), backend("b2"))
+        bench.book.loads["b1"].begin(bench.now_s)
+        self.assertEqual(bench.choose().load.entry.id, "b2")
+
+    def test_requests_of_neighbours_count(self):
+        """Guards against hosts that meet at the same idle server."""
+        bench = Bench(backend("b1"), backend("b2"))
+        report = HostReport(
+            "h2", 1, "east-a", 1, store_age_s=0.0, versions={}, in_flight={"b2": 1}
+        )
+        bench.book.take_report(report)
+        self.assertEqual(bench.choose().load.entry.id, "b1")
+        bench.book.forget_host("h2")
+        bench.book.loads["b1"].begin(bench.now_s)
+        self.assertEqual(bench.choose().load.entry.id, "b2")
+
+    def test_answered_request_is_no_load(self):
+        """Guards against an idle server that counts as busy after each answer."""
+        bench = Bench(backend("b1"))
+        bench.see("b1", running=1)
+        self.assertEqual(bench.book.loads["b1"].in_flight(bench.now_s), 0.0)
+        bench.see("b1", running=2)
+        self.assertEqual(bench.book.loads["b1"].in_flight(bench.now_s), 1.0)
+
+    def test_slowed_machine_is_avoided_until_the_report_is_old(self):
+        """Guards against a start on a machine that is slow at this moment."""
+        bench = Bench(backend("b1"), backend("b2"))
+        for _ in range(50):
+            bench.times.observe_pace("svc", 1.0)
+        bench.see("b1", pace=5.0)
+        bench.see("b2", pace=1.0)
+        self.assertEqual(bench.choose().load.entry.id, "b2")
+        self.assertGreater(bench.book.loads["b1"].pace_delay_s(bench.now_s, 0.8), 0.0)
+        self.assertEqual(
+            bench.book.loads["b1"].pace_delay_s(bench.now_s + 1.0, 0.8), 0.0
+        )
+
+    def test_own_data_centre_goes_before_others(self):
+        """Guards against bytes between data centres without need."""
+        bench = Bench(backend("b1"), backend("b2", "east-b"))
+        self.assertEqual(bench.choose().load.entry.id, "b1")
+
+    def test_other_region_only_when_nothing_here_can_run_it(self):
+        """Guards against a full narrow link while servers here merely are busy."""
+        bench = Bench(backend("b1", slots=1), backend("b2", "west-a"))
+        bench.book.loads["b1"].begin(bench.now_s)
+        bench.book.take_idle("west-a", {"svc": 100})
+        self.assertIs(bench.choose().verdict, Verdict.WAIT)
+        bench.directory.set_backend("b1", None)
+        self.assertEqual(bench.choose().load.entry.id, "b2")
+
+    def test_home_regions_bind(self):
+        """Guards against serving a request outside its home regions."""
+        bench = Bench(backend("b1"), backend("b2", "west-a"))
+        home = route(regions=frozenset({"west"}))
+        self.assertEqual(bench.choose(home).load.entry.id, "b2")
+        bench.directory.set_out("west-a", True)
+        with self.assertRaises(Refused):
+            bench.choose(home)
+
+    def test_data_centre_out_of_service_gets_nothing(self):
+        """Guards against new work in an evacuated data centre."""
+        bench = Bench(backend("b1"), backend("b2", "east-b"))
+        bench.directory.set_out("east-a", True)
+        self.assertEqual(bench.choose().load.entry.id, "b2")
+
+    def test_server_at_another_address_gets_nothing(self):
+        """Guards against an address that belongs to another server by now."""
+        bench = Bench(backend("b1"))
+        bench.see("b1", SightingKind.MISDIRECTED)
+        with self.assertRaises(Refused):
+            bench.choose()
+
+
+class FailingServerTest(unittest.TestCase):
+    def test_two_failures_close_a_server_for_a_while(self):
+        """Guards against a server that fails with a good health probe."""
+        entries = [backend(f"b{index}") for index in range(4)]
+        bench = Bench(*entries)
+        bench.see("b1", SightingKind.FAILED)
+        bench.see("b1", SightingKind.FAILED)
+        for _ in range(20):
+            self.assertNotEqual(bench.choose().load.entry.id, "b1")
+        bench.now_s += 0.8
+        self.assertTrue(bench.book.loads["b1"].is_on_trial(bench.now_s))
+
+    def test_failures_of_most_servers_close_none(self):
+        """Guards against refusing everything during a fault that hits all servers."""
+        bench = Bench(backend("b1"), backend("b2"))
+        for id in ("b1", "b2"):
+            bench.see(id, SightingKind.FAILED)
+            bench.see(id, SightingKind.FAILED)
+        self.assertIsNotNone(bench.choose().load)
+
+    def test_silent_server_is_suspect_unless_it_answers_others(self):
+        """Guards against a queue of requests behind a server that hangs."""
+        bench = Bench(backend("b1"), backend("b2"))
+        bench.book.loads["b1"].begin(bench.now_s)
+        bench.book.loads["b2"].begin(bench.now_s)
+        bench.book.loads["b2"].begin(bench.now_s)
+        bench.now_s += 0.5
+        bench.see("b2")
+        bench.book.loads["b2"].end(100.0)
+        self.assertEqual(bench.choose(may_wait=False).load.entry.id, "b2")
+
+
+class ColdServerTest(unittest.TestCase):
+    def test_cold_server_gets_no_more_than_its_rate(self):
+        """Guards against the crash of a server that has just started."""
+        bench = Bench(backend("b1", cold_left_s=3.0, slots=50))
+        load = bench.book.loads["b1"]
+        placed = 0
+        for _ in range(10):
+            choice = bench.choose(may_wait=False)
+            if choice.load is not None:
+                choice.load.begin(bench.now_s)
+                placed += 1
+        self.assertEqual(placed, 3)
+        for _ in range(placed):
+            load.end(bench.now_s)
+        bench.now_s += 1.01
+        self.assertIs(bench.choose(may_wait=False).load, load)
+
+    def test_sends_of_neighbours_count(self):
+        """Guards against each host giving a cold server its full rate."""
+        bench = Bench(backend("b1", cold_left_s=3.0, slots=50))
+        for seq, host in enumerate(("h2", "h3", "h4")):
+            report = HostReport(
+                host, 1, "east-a", seq, store_age_s=0, versions={}, in_flight={"b1": 1}
+            )
+            bench.book.take_report(report)
+        self.assertIsNone(bench.choose(may_wait=False).load)
+
+    def test_start_time_tells_that_a_server_is_cold(self):
+        """Guards against trust in an entry that says nothing of a cold start."""
+        bench = Bench(backend("b1", born_ms=99_000), unix_ms=100_000.0)
+        self.assertTrue(bench.book.loads["b1"].is_cold(bench.now_s))
+        self.assertFalse(bench.book.loads["b1"].is_cold(bench.now_s + 2.5))
+
+    def test_returned_data_centre_is_cold(self):
+        """Guards against full load on servers that come back into service."""
+        bench = Bench(backend("b1"))
+        bench.directory.set_out("east-a", True)
+        bench.directory.set_out("east-a", False)
+        self.assertTrue(bench.book.loads["b1"].is_cold(bench.now_s))
+
+    def test_restart_under_the_same_id_forgets_the_past(self):
+        """Guards against an old verdict on a new run of a server."""
+        bench = Bench(backend("b1", born_ms=1))
+        bench.see("b1", SightingKind.MISDIRECTED)
+        bench.directory.set_backend("b1", backend("b1", born_ms=2))
+        self.assertIsNotNone(bench.choose().load)
+
+
+class WaitingTest(unittest.TestCase):
+    def test_waits_when_sharing_costs_more(self):
+        """Guards against two requests that slow each other beside a short queue."""
+        entries = [backend(f"b{index}") for index in range(6)]
+        bench = Bench(*entries)
+        for _ in range(40):
+            bench.times.observe("svc", "look", 0.3, 0.1, False)
+            bench.times.observe("svc", "look", 0.3, 0.17, True)
+        for load in bench.book.loads.values():
+            load.begin(bench.now_s)
+        choice = bench.choose()
+        self.assertIs(choice.verdict, Verdict.WAIT)
+        self.assertGreater(choice.patience_s, 0.0)
+        self.assertIs(bench.choose(may_wait=False).verdict, Verdict.PLACE)
+
+    def test_refuses_at_once_what_cannot_be_served_in_time(self):
+        """Guards against requests that wait until their deadline passes."""
+        bench = Bench(backend("b1", slots=1))
+        bench.book.loads["b1"].begin(bench.now_s)
+        req = bench.request(deadline_s=bench.now_s + 0.15)
+        with self.assertRaises(Refused) as caught:
+            bench.placer.choose(req, bench.now_s)
+        self.assertGreater(caught.exception.retry_after_s, 0.0)
+
+    def test_queue_serves_rank_before_age_and_late_requests_last(self):
+        """Guards against a backlog that makes every answer late."""
+        bench = Bench()
+        urgent = route("urgent", priority=0)
+        other = route("other", priority=2)
+        late = bench.request(urgent, objective_s=bench.now_s)
+        queue = RequestQueue()
+        for req in (late, bench.request(other), bench.request(urgent)):
+            queue.add(QueuedRequest(req, bench.now_s, False, None))
+        order = [item.req for item in queue.in_order(bench.now_s)]
+        names = [req.route.name for req in order]
+        self.assertEqual(names, ["urgent", "other", "urgent"])
+        self.assertIs(order[-1], late)
+
+
+class RetryAllowanceTest(unittest.TestCase):
+    def test_sum_over_hosts_stays_within_the_bound(self):
+        """Guards against each host spending the whole fleet's budget."""
+        hosts = [RetryAllowance(0.2, 58.0, 10.0) for _ in range(14)]
+        spent = 0
+        for host in hosts:
+            host.hosts = 14
+            for index in range(20):
+                host.count_request("svc", index * 0.4)
+            while host.take("svc", 8.0):
+                spent += 1
+        self.assertLessEqual(spent, 0.2 * 14 * 20 + 58.0)
+        self.assertGreater(spent, 40)
+
+    def test_window_slides(self):
+        """Guards against a budget that never returns."""
+        host = RetryAllowance(0.0, 2.0 / 0.85, 10.0)
+        self.assertTrue(host.take("svc", 0.0))
+        self.assertTrue(host.take("svc", 0.0))
+        self.assertFalse(host.take("svc", 9.0))
+        self.assertTrue(host.take("svc", 10.1))
+
+
+class SplitTest(unittest.TestCase):
+    def test_each_part_gets_its_share_soon(self):
+        """Guards against a part that gets its share only on average."""
+        parts = [WeightedService("a", 90.0), WeightedService("b", 10.0)]
+        rule = route(parts=parts)
+        split = WeightedSplit()
+        picks = [split.pick(rule) for _ in range(100)]
+        self.assertEqual(picks.count("b"), 10)
+
+    def test_new_weights_apply_at_once(self):
+        """Guards against shares of an older desired state."""
+        split = WeightedSplit()
+        before = route(parts=[WeightedService("a", 1.0), WeightedService("b", 1.0)])
+        split.pick(before)
+        after = route(parts=[WeightedService("a", 1.0), WeightedService("b", 0.0)])
+        self.assertEqual({split.pick(after) for _ in range(10)}, {"a"})
