Add a fault soak of the real entry daemons

Change: make fault-soak starts the daemons as processes, with stand-ins and a proxy in between, injects faults from outside and checks what callers and backend servers saw.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 FAULT ?=
 QUICK ?=
 
-.PHONY: install demo test lint unit bench soak capacity clean
+.PHONY: install demo test lint unit bench soak fault-soak capacity clean
 
 install: $(STAMP)
 
@@ -40,3 +40,6 @@
 
 clean:
 	rm -rf $(VENV) build dist .hypothesis .mypy_cache .ruff_cache
+
+fault-soak: $(STAMP)
+	$(PY) -m crocusward.devtools.fault_soak --seed $(SEED) --duration $(DURATION)
--- /dev/null
+++ b/src/crocusward/devtools/fault_soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomised runs of real entry daemons with faults injected from outside."""
--- /dev/null
+++ b/src/crocusward/devtools/fault_soak/__main__.py
@@ -0,0 +1,56 @@
+"""Command line of the fault soak; ends with one line of JSON."""
+
+import asyncio
+import json
+import sys
+from pathlib import Path
+
+import cyclopts
+
+from ._world import run_soak
+
+app = cyclopts.App(help="Plays faults against real entry daemons on loopback.")
+
+
+@app.default
+def main(
+    *,
+    seed: int = 1,
+    duration: float = 12.0,
+    daemons: int = 2,
+    callers: int = 12,
+    keep: Path | None = None,
+) -> int:
+    """Play one run.
+
+    Args:
+        seed: Seed of the run.
+        duration: Time in which faults begin, in seconds.
+        daemons: Daemons in each of three data centres.
+        callers: Callers.
+        keep: Directory for settings and logs of the daemons.
+    """
+    world = asyncio.run(
+        run_soak(seed, duration, daemons=daemons, callers=callers, keep=keep)
+    )
+    asked = world.promises.asked
+    served = sum(200 <= item.status < 300 for item in asked)
+    for text in world.findings[:20]:
+        print(text)
+    print(
+        json.dumps(
+            {
+                "seed": seed,
+                "asked": len(asked),
+                "served": served,
+                "runs": len(world.promises.runs),
+                "faults": len(world.played),
+                "broken": len(world.findings),
+            }
+        )
+    )
+    return 1 if world.findings else 0
+
+
+if __name__ == "__main__":
+    sys.exit(app())
--- /dev/null
+++ b/src/crocusward/devtools/fault_soak/_checks.py
@@ -0,0 +1,156 @@
+"""The promises, checked against what callers and backend servers saw."""
+
+from collections import Counter
+
+from ._callers import PROMISES, Asked
+from ._targets import Run
+
+DRAIN_S = 2.0  # bounds of the settings that the daemons get
+EVACUATE_S = 5.0
+APPLY_S = 2.0
+STABLE_S = 3.0  # calm before a bound counts
+CUT_SLACK_S = 0.2
+HOME_PREFIX = "/home/"
+
+
+class Span:
+    """A time in which a bound does not count.
+
+    Attributes:
+        start_s: Its start, in seconds of the loop.
+        end_s: Its end.
+        host: IP address of the daemon that it concerns, "" for all.
+    """
+
+    __slots__ = ("start_s", "end_s", "host")
+
+    def __init__(self, start_s: float, end_s: float, host: str = "") -> None:
+        self.start_s = start_s
+        self.end_s = end_s
+        self.host = host
+
+
+class Promises:
+    """Collects what happened and finds broken promises.
+
+    Attributes:
+        runs: What backend servers ran.
+        asked: What callers asked and got.
+        leaving: When servers were told to leave, by id, in seconds.
+        out: Times in which data centres were out of service.
+        moved: When routes moved, with path prefix, old and new service.
+        unstable: Times in which bounds do not count.
+        stops: Planned stops, by name of the daemon.
+    """
+
+    def __init__(self) -> None:
+        self.runs: list[Run] = []
+        self.asked: list[Asked] = []
+        self.leaving: dict[str, float] = {}
+        self.out: dict[str, list[tuple[float, float]]] = {}
+        self.moved: list[tuple[float, str, str, str]] = []
+        self.unstable: list[Span] = []
+        self.stops: list[tuple[str, float]] = []
+
+    def broken(self) -> list[str]:
+        """Return the broken promises."""
+        found = [
+            *self._own_answers(),
+            *self._at_most_once(),
+            *self._homes(),
+            *self._leaving(),
+            *self._out(),
+            *self._moved(),
+            *self._planned_stops(),
+        ]
+        return sorted(found)
+
+    def _is_calm(self, at_s: float, host: str = "") -> bool:
+        for span in self.unstable:
+            concerns = not span.host or span.host == host
+            if concerns and span.start_s <= at_s <= span.end_s + STABLE_S:
+                return False
+        return True
+
+    def _own_answers(self) -> list[str]:
+        found = []
+        for item in self.asked:
+            if 200 <= item.status < 300:
+                own = item.body.startswith(item.id.encode() + b" at ")
+                if not own or item.digest != f"sig-{item.id}":
+                    found.append(f"own_answer: {item.id} got {item.body!r}")
+        return found
+
+    def _at_most_once(self) -> list[str]:
+        found = []
+        runs = Counter(run.id for run in self.runs)
+        asked = {item.id: item for item in self.asked}
+        for id, times in runs.items():
+            item = asked.get(id)
+            if item is None:
+                found.append(f"unasked: {id} ran")
+            elif not item.path.startswith("/look/"):
+                if times > 1:
+                    found.append(f"at_most_once: {id} ran {times} times")
+                if item.status in PROMISES:
+                    found.append(f"not_run: {id} got {item.status} and ran")
+        return found
+
+    def _homes(self) -> list[str]:
+        return [
+            f"homes: {run.id} ran in {run.data_centre}"
+            for run in self.runs
+            if run.path.startswith(HOME_PREFIX)
+            and not run.data_centre.startswith("east")
+        ]
+
+    def _leaving(self) -> list[str]:
+        found = []
+        for run in self.runs:
+            told_s = self.leaving.get(run.server)
+            if told_s is None or run.at_s < told_s + DRAIN_S:
+                continue
+            if self._is_calm(told_s, run.host) and self._is_calm(run.at_s, run.host):
+                late_s = run.at_s - told_s
+                found.append(f"leaving: {run.server} got {run.id} after {late_s:.2f} s")
+        return found
+
+    def _out(self) -> list[str]:
+        found = []
+        for run in self.runs:
+            for start_s, end_s in self.out.get(run.data_centre, ()):
+                is_late = start_s + EVACUATE_S < run.at_s < end_s
+                if is_late and self._is_calm(run.at_s, run.host):
+                    found.append(f"evacuation: {run.data_centre} got {run.id}")
+        return found
+
+    def _moved(self) -> list[str]:
+        found = []
+        asked = {item.id: item for item in self.asked}
+        for index, (moved_s, prefix, old, _) in enumerate(self.moved):
+            later = [m for m in self.moved[index + 1 :] if m[1] == prefix]
+            end_s = later[0][0] if later else 1e18
+            for run in self.runs:
+                item = asked.get(run.id)
+                if item is None or not run.path.startswith(prefix):
+                    continue
+                in_span = moved_s + APPLY_S < item.sent_s < end_s
+                calm = self._is_calm(moved_s, run.host) and self._is_calm(
+                    run.at_s, run.host
+                )
+                if in_span and run.service == old and calm:
+                    found.append(f"config: {run.id} ran at {old} after it moved")
+        return found
+
+    def _planned_stops(self) -> list[str]:
+        """Return requests that a planned stop cut although all else was calm."""
+        found = []
+        for name, stopped_s in self.stops:
+            for item in self.asked:
+                in_stop = stopped_s - 1.5 < item.ended_s < stopped_s + 7.0
+                was_read = item.ended_s - item.sent_s > CUT_SLACK_S
+                if item.daemon != name or item.status or not in_stop or not was_read:
+                    continue
+                if self._is_calm(item.sent_s) and self._is_calm(item.ended_s):
+                    found.append(f"planned_stop: {name} cut {item.id}")
+        return found
--- /dev/null
+++ b/src/crocusward/devtools/fault_soak/_daemons.py
@@ -0,0 +1,162 @@
+"""The entry daemons as processes of their own."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import time
+from pathlib import Path
+
+REPOSITORY = Path(__file__).resolve().parents[4]
+CALLER_PORT, READY_PORT, CONTROL_PORT, PEER_PORT = 18161, 18167, 18166, 17720
+
+
+class Daemon:
+    """One daemon.
+
+    Attributes:
+        name: Name of its host.
+        address: Loopback address of its host.
+        data_centre: Its data centre.
+        disturbed_s: When it was last started, signalled or paused, in seconds.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        data_centre: str,
+        regions: dict[str, str],
+        store_port: int,
+        seeds: list[str],
+        directory: Path,
+    ) -> None:
+        self.name = name
+        self.address = address
+        self.data_centre = data_centre
+        self.disturbed_s = 0.0
+        self.paused = False
+        self.stopping_s: float | None = None
+        self._settings = directory / f"{name}.json"
+        self._log = directory / f"{name}.log"
+        self._process: asyncio.subprocess.Process | None = None
+        self._settings.write_text(
+            json.dumps(self._document(regions, store_port, seeds)), encoding="utf-8"
+        )
+
+    def _document(
+        self, regions: dict[str, str], store_port: int, seeds: list[str]
+    ) -> dict[str, object]:
+        return {
+            "node": self.name,
+            "ip": self.address,
+            "zone": self.data_centre,
+            "region": regions[self.data_centre],
+            "zones": regions,
+            "listen": {
+                "front": f"{self.address}:{CALLER_PORT}",
+                "ready": f"{self.address}:{READY_PORT}",
+                "control": f"{self.address}:{CONTROL_PORT}",
+            },
+            "portRange": [PEER_PORT, PEER_PORT + 5],
+            "seeds": [f"{seed}:{CONTROL_PORT}" for seed in seeds],
+            "limits": {"cpuShare": 1.0, "memoryMb": 300, "maxFds": 1000},
+            "heartbeat": "1500ms",
+            "bounds": {
+                "drain": "2s",
+                "grace": "6s",
+                "configApply": "2s",
+                "reuseAfter": "2s",
+                "retryBudgetRatio": 0.2,
+                "retryWindow": "10s",
+                "retryBudgetSlack": 58,
+                "warmupOverage": 1.5,
+                "warmupSlack": 5,
+            },
+            "platform": {"address": f"127.0.0.1:{store_port}"},
+        }
+
+    def _touch(self) -> None:
+        self.disturbed_s = asyncio.get_running_loop().time()
+
+    async def start(self) -> None:
+        """Start the process."""
+        self._touch()
+        self.stopping_s = None
+        env = {**os.environ, "CROCUSWARD_BOOT": str(self._settings)}
+        with self._log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(REPOSITORY / "deploy" / "run.py"),
+                env=env,
+                stdout=log,
+                stderr=log,
+            )
+
+    @property
+    def is_running(self) -> bool:
+        """Return True while the process runs."""
+        return self._process is not None and self._process.returncode is None
+
+    def _signal(self, number: int) -> None:
+        if self._process is not None and self._process.returncode is None:
+            self._process.send_signal(number)
+            self._touch()
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self._signal(signal.SIGKILL)
+        self.paused = False
+
+    def pause(self) -> None:
+        """Freeze the process."""
+        self._signal(signal.SIGSTOP)
+        self.paused = True
+
+    def resume(self) -> None:
+        """Let a frozen process go on."""
+        self._signal(signal.SIGCONT)
+        self.paused = False
+
+    def reload(self) -> None:
+        """Tell the process that its settings changed."""
+        self._settings.touch()
+        self._signal(signal.SIGHUP)
+
+    def stop(self) -> None:
+        """Ask the process to stop as planned."""
+        self._signal(signal.SIGTERM)
+        self.stopping_s = asyncio.get_running_loop().time()
+
+    async def wait(self, timeout_s: float) -> bool:
+        """Wait for the end of the process; return whether it ended."""
+        if self._process is None:
+            return True
+        try:
+            await asyncio.wait_for(self._process.wait(), timeout_s)
+        except TimeoutError:
+            return False
+        return True
+
+    async def is_ready(self) -> bool:
+        """Return whether the daemon says that it is ready."""
+        try:
+            reader, writer = await asyncio.wait_for(
+                asyncio.open_connection(self.address, READY_PORT), 0.5
+            )
+        except (OSError, TimeoutError):
+            return False
+        try:
+            writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            line = await asyncio.wait_for(reader.readline(), 0.5)
+        except (OSError, TimeoutError):
+            return False
+        finally:
+            writer.close()
+        return b" 200 " in line
+
+
+def unix_ms() -> int:
+    """Return the time of day in milliseconds."""
+    return time.time_ns() // 1_000_000
--- /dev/null
+++ b/src/crocusward/devtools/fault_soak/_faults.py
@@ -0,0 +1,148 @@
+"""Faults of the soak; each begins, lasts, and ends."""
+
+import random
+from collections.abc import Callable, Coroutine
+from typing import TYPE_CHECKING, Any
+
+from ...registry import Registry
+
+if TYPE_CHECKING:
+    from ._world import World
+
+Fault = Callable[["World", random.Random, float], Coroutine[Any, Any, None]]
+FAULTS: Registry[Fault] = Registry("fault")
+
+
+@FAULTS.register("daemon_kill")
+async def kill_daemon(world: "World", rng: random.Random, for_s: float) -> None:
+    """Kill a daemon, sometimes several, and start them again."""
+    chosen = rng.sample(world.daemons, rng.choice([1, 1, 2, len(world.daemons)]))
+    for daemon in chosen:
+        daemon.kill()
+    await world.sleep(min(for_s, 1.0))
+    for daemon in chosen:
+        await daemon.wait(2.0)
+        await daemon.start()
+        world.disturb(daemon, 1.0)
+
+
+@FAULTS.register("daemon_pause")
+async def pause_daemon(world: "World", rng: random.Random, for_s: float) -> None:
+    """Freeze a daemon and let it go on."""
+    daemon = rng.choice(world.daemons)
+    with world.unstable(daemon.address):
+        daemon.pause()
+        await world.sleep(for_s)
+        daemon.resume()
+
+
+@FAULTS.register("daemon_stop")
+async def stop_daemon(world: "World", rng: random.Random, for_s: float) -> None:
+    """Stop a daemon as planned and start it again."""
+    daemon = rng.choice(world.daemons)
+    if daemon.paused or daemon.stopping_s is not None or not daemon.is_running:
+        return
+    world.stop_planned(daemon)
+    if not await daemon.wait(7.0):
+        world.findings.append(f"planned_stop: {daemon.name} outlasts its grace time")
+        daemon.kill()
+        await daemon.wait(2.0)
+    await daemon.start()
+
+
+@FAULTS.register("settings_reload")
+async def reload_settings(world: "World", rng: random.Random, for_s: float) -> None:
+    """Tell daemons that their settings changed."""
+    for daemon in rng.sample(world.daemons, 2):
+        daemon.reload()
+        await world.sleep(0.2)
+
+
+@FAULTS.register("store_down")
+async def take_store_down(world: "World", rng: random.Random, for_s: float) -> None:
+    """Let the store refuse, hang, drop or answer late."""
+    with world.unstable():
+        world.set_store_mode(rng.choice(["unavailable", "hang", "drop", "slow"]))
+        await world.sleep(for_s)
+        world.set_store_mode("up")
+
+
+@FAULTS.register("store_refuses_some")
+async def refuse_some(world: "World", rng: random.Random, for_s: float) -> None:
+    """Let the path to the store go silent for good on open connections."""
+    with world.unstable():
+        world.store_proxy.mute_open()
+        await world.sleep(0.5)
+
+
+@FAULTS.register("store_forgets")
+async def forget_history(world: "World", rng: random.Random, for_s: float) -> None:
+    """Drop the store's history."""
+    with world.unstable():
+        world.store.forget_history()
+        await world.sleep(0.2)
+
+
+@FAULTS.register("store_loses_answers")
+async def lose_answers(world: "World", rng: random.Random, for_s: float) -> None:
+    """Apply writes and lose their answers."""
+    world.store.lose_answers += 2
+
+
+@FAULTS.register("server_misbehaves")
+async def misbehave(world: "World", rng: random.Random, for_s: float) -> None:
+    """Let some servers hang, reset, lose, cut, shed or answer twice."""
+    modes = ["hang", "reset", "lose", "cut", "shed", "extra"]
+    chosen = rng.sample(world.targets, 2)
+    with world.unstable():
+        for target in chosen:
+            target.mode = rng.choice(modes)
+            target.share = rng.choice([0.3, 1.0])
+        await world.sleep(for_s)
+        for target in chosen:
+            target.mode = ""
+
+
+@FAULTS.register("server_path")
+async def harm_path(world: "World", rng: random.Random, for_s: float) -> None:
+    """Delay, reset, silence or cut one way the path to a server."""
+    proxy = world.proxies[rng.choice(world.targets).id]
+    kind = rng.choice(["delay", "reset", "silent", "deaf", "refuse", "mute"])
+    with world.unstable():
+        if kind == "reset":
+            proxy.reset()
+        elif kind == "mute":
+            proxy.mute_open()
+        elif kind == "delay":
+            proxy.delay_s = 0.15
+        else:
+            setattr(proxy, kind, True)
+        await world.sleep(for_s)
+        proxy.delay_s = 0.0
+        proxy.silent = proxy.deaf = proxy.refuse = False
+
+
+@FAULTS.register("server_leaves")
+async def leave(world: "World", rng: random.Random, for_s: float) -> None:
+    """Let a server announce its end and leave; another one takes its place."""
+    await world.replace_target(rng.choice(world.targets))
+
+
+@FAULTS.register("address_reuse")
+async def reuse_address(world: "World", rng: random.Random, for_s: float) -> None:
+    """End a server without notice; one of another service gets its address."""
+    await world.reuse_address(rng.choice(world.targets))
+
+
+@FAULTS.register("evacuate")
+async def evacuate(world: "World", rng: random.Random, for_s: float) -> None:
+    """Take a data centre out of service and back."""
+    await world.evacuate(rng.choice(world.data_centres), for_s + 6.0)
+
+
+@FAULTS.register("route_moves")
+async def move_route(world: "World", rng: random.Random, for_s: float) -> None:
+    """Move a route to another service, sometimes several times quickly."""
+    for _ in range(rng.choice([1, 1, 3])):
+        world.move_route()
+        await world.sleep(rng.choice([0.1, 2.5]))
--- /dev/null
+++ b/src/crocusward/devtools/fault_soak/_targets.py
@@ -0,0 +1,166 @@
+"""Backend servers of the soak, which record what they ran."""
+
+import asyncio
+import random
+
+from ...model import Record
+from ..standins._http import Connection, Listener, StandinRequest
+
+QUEUE = 4  # requests that wait beyond the slots
+
+
+class Run(Record):
+    """One request that a server received.
+
+    Attributes:
+        id: Id of the request.
+        host: IP address of the daemon that sent it.
+        server: Id of the server.
+        service: Service of the server.
+        data_centre: Data centre of the server.
+        at_s: When it arrived, in seconds of the loop.
+        path: Path of the request.
+    """
+
+    __slots__ = ("id", "host", "server", "service", "data_centre", "at_s", "path")
+
+    def __init__(
+        self,
+        id: str,
+        host: str,
+        server: str,
+        service: str,
+        data_centre: str,
+        at_s: float,
+        path: str,
+    ) -> None:
+        self.id = id
+        self.host = host
+        self.server = server
+        self.service = service
+        self.data_centre = data_centre
+        self.at_s = at_s
+        self.path = path
+
+
+class Target:
+    """One backend server.
+
+    Attributes:
+        id: Id of this run of the server.
+        mode: How it misbehaves: "", "hang", "reset", "lose", "extra", "cut", "shed".
+        share: Share of the requests on which it does.
+        listener: Where it listens.
+    """
+
+    def __init__(
+        self,
+        id: str,
+        service: str,
+        data_centre: str,
+        runs: list[Run],
+        rng: random.Random,
+        *,
+        slots: int = 2,
+    ) -> None:
+        self.id = id
+        self.service = service
+        self.data_centre = data_centre
+        self.mode = ""
+        self.share = 1.0
+        self.slots = slots
+        self.listener = Listener(self, "127.0.0.1", 0)
+        self._runs = runs
+        self._rng = rng
+        self._busy = 0
+        self._waiting: list[tuple[Connection, StandinRequest]] = []
+
+    def on_connect(self, conn: Connection) -> bool:
+        """Accept a connection."""
+        self.listener.conns.add(conn)
+        return True
+
+    def on_close(self, conn: Connection) -> None:
+        """Forget a connection."""
+        self.listener.conns.discard(conn)
+
+    def on_request(self, conn: Connection, req: StandinRequest) -> None:
+        """Run a request, or misbehave."""
+        load = b"Crocusward-Server-Load: %d,%d,%d,100\r\n"
+        head = load % (self._busy, len(self._waiting), self.slots)
+        if req.path == "/health":
+            head += b"Crocusward-Instance-Id: %s\r\n" % self.id.encode()
+            conn.respond(200, b"", head)
+            return
+        id = req.headers.get(b"crocusward-request-id", b"")
+        own = b"Crocusward-Request-Id: %s\r\n" % id
+        if req.headers.get(b"crocusward-expected-instance", b"").decode() != self.id:
+            conn.respond(421, b"", own)
+            return
+        mode = self.mode if self._rng.random() < self.share else ""
+        is_full = self._busy + len(self._waiting) >= self.slots + QUEUE
+        if mode == "shed" or is_full:
+            conn.respond(503, b"", own + b"Crocusward-Not-Executed: 1\r\n")
+            return
+        conn.job = mode
+        if self._busy >= self.slots:
+            self._waiting.append((conn, req))
+        else:
+            self._start(conn, req)
+
+    def _start(self, conn: Connection, req: StandinRequest) -> None:
+        transport = conn.transport
+        host = transport.get_extra_info("peername")[0] if transport else ""
+        id = req.headers[b"crocusward-request-id"].decode()
+        loop = asyncio.get_running_loop()
+        self._runs.append(
+            Run(
+                id,
+                host,
+                self.id,
+                self.service,
+                self.data_centre,
+                loop.time(),
+                req.path,
+            )
+        )
+        self._busy += 1
+        work_s = 0.02 + 0.06 * self._rng.random()
+        loop.call_later(work_s, self._finish, conn, req, id)
+
+    def _finish(self, conn: Connection, req: StandinRequest, id: str) -> None:
+        self._busy -= 1
+        if self._waiting:
+            self._start(*self._waiting.pop(0))
+        mode = conn.job
+        if mode in ("reset", "lose"):
+            conn.abort()
+            return
+        if mode == "hang":
+            return
+        body = f"{id} at {self.service}".encode()
+        head = b"Crocusward-Request-Id: %s\r\n" % id.encode()
+        head += b"Crocusward-Response-Signature: sig-%s\r\n" % id.encode()
+        head += b"Crocusward-Server-Load: %d,%d,%d,100\r\n" % (
+            self._busy + 1,
+            len(self._waiting),
+            self.slots,
+        )
+        if mode == "cut" and conn.transport is not None and not conn.closed:
+            full = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s\r\n" % (
+                len(body) + 9,
+                head,
+            )
+            conn.transport.write(full + body)
+            conn.close()
+            return
+        conn.respond(200, body, head)
+        if mode == "extra" and conn.transport is not None and not conn.closed:
+            again = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n%s\r\nagain" % head
+            asyncio.get_running_loop().call_later(
+                0.03 * self._rng.random(), self._write, conn, again
+            )
+
+    def _write(self, conn: Connection, data: bytes) -> None:
+        if conn.transport is not None and not conn.closed:
+            conn.transport.write(data)
--- /dev/null
+++ b/src/crocusward/devtools/fault_soak/_world.py
@@ -0,0 +1,334 @@
+"""Assembles store, servers, daemons and callers, and plays the faults."""
+
+import asyncio
+import contextlib
+import random
+import tempfile
+from collections.abc import Iterator
+from pathlib import Path
+
+from ..standins import RowsStandin
+from ..standins._store import FaultMode
+from ._callers import Asked, Caller
+from ._checks import Promises, Span
+from ._daemons import Daemon, unix_ms
+from ._faults import FAULTS
+from ._proxy import FaultProxy
+from ._targets import Target
+
+REGIONS = {"east-a": "east", "east-b": "east", "west-a": "west"}
+SERVICES = ("alpha", "beta")
+PATHS = [
+    ("GET", "/look/x"),
+    ("GET", "/look/y?z=1"),
+    ("POST", "/order/x"),
+    ("POST", "/home/x"),
+    ("PUT", "/move/x"),
+]
+START_S = 8.0  # in which all daemons must be ready
+CALM_S = 4.0  # after the faults, before the check that requests are served
+SLOW_S = 0.6
+SERVED_SHARE = 0.9
+LAST_REQUESTS = 60
+
+
+class World:
+    """One run.
+
+    Args:
+        seed: Seed of the run.
+        daemons: Daemons in each data centre.
+        callers: Number of callers.
+        directory: Where settings and logs are kept.
+    """
+
+    def __init__(self, seed: int, daemons: int, callers: int, directory: Path) -> None:
+        self.rng = random.Random(seed)
+        self.findings: list[str] = []
+        self.promises = Promises()
+        self.data_centres = list(REGIONS)
+        self.store = RowsStandin()
+        self.store_proxy = FaultProxy(("127.0.0.1", 0))
+        self.targets: list[Target] = []
+        self.proxies: dict[str, FaultProxy] = {}
+        self.daemons: list[Daemon] = []
+        self.played: list[str] = []
+        self._per_data_centre = daemons
+        self._callers = callers
+        self._directory = directory
+        self._seed = seed
+        self._version = 0
+        self._number = 0
+        self._move_service = "alpha"
+        self._tasks: list[asyncio.Task[None]] = []
+
+    # Start and stop.
+
+    async def start(self) -> None:
+        """Start everything and wait until all daemons are ready."""
+        await self.store.start()
+        self.store_proxy = FaultProxy(("127.0.0.1", self.store.port))
+        await self.store_proxy.start()
+        self._write_state()
+        for data_centre in self.data_centres:
+            for service in SERVICES:
+                for _ in range(2):
+                    await self.add_target(service, data_centre)
+        self._make_daemons()
+        for daemon in self.daemons:
+            await daemon.start()
+        await self._wait_ready()
+        for _ in range(self._callers):
+            caller = Caller(self.daemons, self.rng, self.promises.asked, PATHS)
+            task = asyncio.get_running_loop().create_task(caller.run(0.05))
+            self._tasks.append(task)
+
+    def _make_daemons(self) -> None:
+        base = 2 + self._seed % 200
+        addresses = [
+            f"127.7.{base}.{10 + index}"
+            for index in range(self._per_data_centre * len(self.data_centres))
+        ]
+        for index, address in enumerate(addresses):
+            data_centre = self.data_centres[index % len(self.data_centres)]
+            self.daemons.append(
+                Daemon(
+                    f"host-{data_centre}-{index}",
+                    address,
+                    data_centre,
+                    REGIONS,
+                    self.store_proxy.port,
+                    addresses[:3],
+                    self._directory,
+                )
+            )
+
+    async def _wait_ready(self) -> None:
+        async with asyncio.timeout(START_S):
+            while not all([await daemon.is_ready() for daemon in self.daemons]):
+                await asyncio.sleep(0.1)
+
+    async def close(self) -> None:
+        """End everything that this run started."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for daemon in self.daemons:
+            daemon.resume()
+            daemon.kill()
+        for daemon in self.daemons:
+            await daemon.wait(3.0)
+        for proxy in (*self.proxies.values(), self.store_proxy):
+            proxy.close()
+        for target in self.targets:
+            target.listener.shut()
+        self.store.stop()
+
+    # What faults use.
+
+    async def sleep(self, delay_s: float) -> None:
+        """Wait."""
+        await asyncio.sleep(delay_s)
+
+    def now_s(self) -> float:
+        """Return the time of the loop."""
+        return asyncio.get_running_loop().time()
+
+    @contextlib.contextmanager
+    def unstable(self, host: str = "") -> Iterator[None]:
+        """Let no bound count meanwhile, for one daemon or for all."""
+        span = Span(self.now_s(), 1e18, host)
+        self.promises.unstable.append(span)
+        try:
+            yield
+        finally:
+            span.end_s = self.now_s()
+
+    def disturb(self, daemon: Daemon, for_s: float) -> None:
+        """Let no bound count for a daemon around this moment."""
+        now_s = self.now_s()
+        self.promises.unstable.append(Span(now_s - 2.0, now_s + for_s, daemon.address))
+
+    def set_store_mode(self, mode: str) -> None:
+        """Change how the store answers."""
+        self.store.delay_s = SLOW_S if mode == "slow" else 0.0
+        self.store.mode = FaultMode.UP if mode == "slow" else FaultMode(mode)
+
+    def stop_planned(self, daemon: Daemon) -> None:
+        """Ask a daemon to stop, and note it."""
+        self.promises.stops.append((daemon.name, self.now_s()))
+        self.disturb(daemon, 7.0)
+        daemon.stop()
+
+    # Backend servers.
+
+    async def add_target(
+        self, service: str, data_centre: str, proxy: FaultProxy | None = None
+    ) -> Target:
+        """Start a server and register it, at a given address if there is one."""
+        self._number += 1
+        id = f"i-{self._number}"
+        target = Target(id, service, data_centre, self.promises.runs, self.rng)
+        await target.listener.open()
+        if proxy is None:
+            proxy = FaultProxy(("127.0.0.1", target.listener.port))
+            await proxy.start()
+        else:
+            proxy._target = ("127.0.0.1", target.listener.port)
+        self.proxies[id] = proxy
+        self.targets.append(target)
+        self._register(target, "ready")
+        return target
+
+    def _register(self, target: Target, state: str) -> None:
+        self.store.put_json(
+            "servers",
+            target.id,
+            {
+                "service": target.service,
+                "address": f"127.0.0.1:{self.proxies[target.id].port}",
+                "zone": target.data_centre,
+                "version": "v1",
+                "slots": target.slots,
+                "state": state,
+                "warmupLeft": "0ms",
+                "seq": self._number,
+                "born": unix_ms() - 60_000,
+            },
+        )
+
+    async def replace_target(self, target: Target) -> None:
+        """Start another server and let this one leave in order."""
+        self.targets.remove(target)
+        await self.add_target(target.service, target.data_centre)
+        self._register(target, "draining")
+        self.promises.leaving[target.id] = self.now_s()
+        await self.sleep(3.5)
+        self.store.drop("servers", target.id)
+        target.listener.shut()
+
+    async def reuse_address(self, target: Target) -> None:
+        """End a server without notice and give its address to another service."""
+        self.targets.remove(target)
+        proxy = self.proxies[target.id]
+        with self.unstable():
+            target.listener.shut()
+            proxy.reset()
+            await self.sleep(2.0)
+            other = SERVICES[1 - SERVICES.index(target.service)]
+            await self.add_target(other, target.data_centre, proxy)
+            await self.add_target(target.service, target.data_centre)
+            await self.sleep(1.0)
+            self.store.drop("servers", target.id)
+
+    # Acts of operators.
+
+    async def evacuate(self, data_centre: str, for_s: float) -> None:
+        """Take a data centre out of service for a while."""
+        if (
+            data_centre in self.promises.out
+            and self.promises.out[data_centre][-1][1] > 1e17
+        ):
+            return
+        self.store.put("op", f"evacuate/{data_centre}", b"{}")
+        spans = self.promises.out.setdefault(data_centre, [])
+        start_s = self.now_s()
+        spans.append((start_s, 1e18))
+        await self.sleep(for_s)
+        self.store.drop("op", f"evacuate/{data_centre}")
+        spans[-1] = (start_s, self.now_s())
+
+    def move_route(self) -> None:
+        """Move one route to the other service."""
+        old = self._move_service
+        self._move_service = SERVICES[1 - SERVICES.index(old)]
+        self._write_state()
+        self.promises.moved.append((self.now_s(), "/move/", old, self._move_service))
+
+    def _write_state(self) -> None:
+        self._version += 3
+        rows = [
+            ["look", "api.example", "/look/", "safe", "1500ms", "400ms", 2, "alpha", 2],
+            ["order", "api.example", "/order/", "unsafe", "1500ms", "400ms", 0, "beta"],
+            ["home", "api.example", "/home/", "unsafe", "1500ms", "400ms", 1, "alpha"],
+            ["move", "api.example", "/move/", "unsafe", "1500ms", "400ms", 1],
+        ]
+        rows[1] += [2, []]
+        rows[2] += [2, ["east"]]
+        rows[3] += [self._move_service, 2, []]
+        rows[0] += [[]]
+        columns = "name host prefix kind timeout slo priority service maxAttempts"
+        document = {
+            "version": f"{self._version:08x}",
+            "routes": {"columns": [*columns.split(), "allowedRegions"], "rows": rows},
+            "services": {
+                "columns": ["name", "healthPath", "maxConns", "warmup", "warmupPerS"],
+                "rows": [[name, "/health", 200, "3s", 5.0] for name in SERVICES],
+            },
+            "limits": {
+                "maxHeaderBytes": 16384,
+                "maxBodyBytes": 100_000,
+                "headerTimeout": "3s",
+                "idleTimeout": "15s",
+            },
+        }
+        self.store.put_json("op", "config", document)
+
+    # The run.
+
+    async def play(self, duration_s: float) -> None:
+        """Inject faults, some at the same time, for ``duration_s`` seconds."""
+        end_s = self.now_s() + duration_s
+        faults: set[asyncio.Task[None]] = set()
+        loop = asyncio.get_running_loop()
+        while self.now_s() < end_s:
+            name = self.rng.choice(FAULTS.names())
+            self.played.append(name)
+            for_s = 0.5 + 2.5 * self.rng.random()
+            task = loop.create_task(FAULTS.get(name)(self, self.rng, for_s))
+            faults.add(task)
+            await self.sleep(2.0 * self.rng.random())
+        results = await asyncio.gather(*faults, return_exceptions=True)
+        for result in results:
+            if isinstance(result, BaseException):
+                self.findings.append(f"soak: {type(result).__name__}: {result}")
+        await self._check_recovery()
+
+    async def _check_recovery(self) -> None:
+        for daemon in self.daemons:
+            if not daemon.is_running:
+                self.findings.append(f"process: {daemon.name} ended by itself")
+                await daemon.start()
+        await self.sleep(CALM_S)
+        before = len(self.promises.asked)
+        while len(self.promises.asked) < before + LAST_REQUESTS:
+            await self.sleep(0.1)
+        last = self.promises.asked[before : before + LAST_REQUESTS]
+        await self.sleep(0.5)
+        served = sum(self._is_served(item) for item in last)
+        if served < SERVED_SHARE * len(last):
+            self.findings.append(f"recovery: {served} of {len(last)} served")
+
+    @staticmethod
+    def _is_served(item: Asked) -> bool:
+        return 200 <= item.status < 300
+
+
+async def run_soak(
+    seed: int, duration_s: float, *, daemons: int, callers: int, keep: Path | None
+) -> World:
+    """Play one run and return it."""
+    with contextlib.ExitStack() as stack:
+        if keep is None:
+            path = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        else:
+            path = keep
+            path.mkdir(parents=True, exist_ok=True)
+        world = World(seed, daemons, callers, path)
+        try:
+            await world.start()
+            await world.play(duration_s)
+        finally:
+            await world.close()
+        world.findings += world.promises.broken()
+        return world
--- a/src/crocusward/devtools/standins/__init__.py
+++ b/src/crocusward/devtools/standins/__init__.py
@@ -6,6 +6,7 @@
 from ._hostlist import HostListStandin
 from ._link import LinkDirection, LinkRelay
 from ._objects import ObjectsStandin
+from ._rows import RowsStandin
 from ._table import TableStandin
 
 __all__ = [
@@ -18,5 +19,6 @@
     "LinkDirection",
     "LinkRelay",
     "ObjectsStandin",
+    "RowsStandin",
     "TableStandin",
 ]
