--- a/src/crocusward/devtools/fault_soak/_daemons.py
+++ b/src/crocusward/devtools/fault_soak/_daemons.py
@@ -40,6 +40,7 @@
         self.stopping_s: float | None = None
         self._settings = directory / f"{name}.json"
         self._log = directory / f"{name}.log"
+        self._is_starting = False
         self._process: asyncio.subprocess.Process | None = None
         self._settings.write_text(
             json.dumps(self._document(regions, store_port, seeds)), encoding="utf-8"
@@ -81,7 +82,10 @@
         self.disturbed_s = asyncio.get_running_loop().time()
 
     async def start(self) -> None:
-        """Start the process."""
+        """Start the process unless another fault has started it again already."""
+        if self.is_running or self._is_starting:
+            return
+        self._is_starting = True
         self._touch()
         self.stopping_s = None
         env = {**os.environ, "CROCUSWARD_BOOT": str(self._settings)}
@@ -93,6 +97,7 @@
                 stdout=log,
                 stderr=log,
             )
+        self._is_starting = False
 
     @property
     def is_running(self) -> bool:
--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -105,6 +105,7 @@
     def __init__(self, facts: HostFacts, path: Path, logs: LogPipe) -> None:
         loop = asyncio.get_running_loop()
         self.facts = facts
+        self._last_read = facts
         self._path = path
         self._logs = logs
         self._rng = random.Random()
@@ -325,11 +326,10 @@
                 "settings_ignored", Level.ERROR, cause=cause, reason=str(exc)
             )
             return
-        if facts == self.facts and cause != "signal":
+        if facts == self._last_read and cause != "signal":
             return
-        self.facts.bounds = facts.bounds
-        self.facts.limits = facts.limits
-        self.facts.seeds = facts.seeds
+        self._last_read = facts
+        self.facts = facts
         self.retries.set_bounds(
             facts.bounds.retry_ratio,
             facts.bounds.retry_reserve,
--- /dev/null
+++ b/tests/test_fault_soak.py
@@ -0,0 +1,112 @@
+"""The fault soak: a short run, its checks on planted faults, and seeds that failed."""
+
+import asyncio
+import unittest
+
+from crocusward.devtools.fault_soak._callers import Asked
+from crocusward.devtools.fault_soak._checks import Promises, Span
+from crocusward.devtools.fault_soak._targets import Run
+from crocusward.devtools.fault_soak._world import run_soak
+
+CI_SEED = 1
+CI_DURATION_S = 4.0
+# Seeds that once failed, with the cause.
+REGRESSION_SEEDS = {
+    9: "two faults started the same daemon; the second process found the port taken",
+}
+
+
+def asked(id="q1", path="/order/x", status=200, sent_s=1.0, **options):
+    item = Asked(id, path, options.get("daemon", "h1"), sent_s)
+    item.ended_s = options.get("ended_s", sent_s + 0.1)
+    item.status = status
+    item.body = options.get("body", f"{id} at alpha".encode())
+    item.digest = options.get("digest", f"sig-{id}")
+    return item
+
+
+def run(id="q1", server="i-1", service="alpha", at_s=1.0, **options):
+    data_centre = options.get("data_centre", "east-a")
+    path = options.get("path", "/order/x")
+    return Run(id, "127.0.0.9", server, service, data_centre, at_s, path)
+
+
+class PlantedFaultTest(unittest.TestCase):
+    """Guards against checks that cannot fail."""
+
+    def setUp(self):
+        self.promises = Promises()
+
+    def assert_broken(self, name):
+        found = self.promises.broken()
+        self.assertTrue(any(text.startswith(name) for text in found), found)
+
+    def test_clean_history_breaks_nothing(self):
+        self.promises.asked = [asked()]
+        self.promises.runs = [run()]
+        self.assertEqual(self.promises.broken(), [])
+
+    def test_foreign_answer(self):
+        self.promises.asked = [asked(body=b"q2 at alpha")]
+        self.assert_broken("own_answer")
+
+    def test_double_run(self):
+        self.promises.asked = [asked()]
+        self.promises.runs = [run(), run(server="i-2")]
+        self.assert_broken("at_most_once")
+
+    def test_false_not_run(self):
+        self.promises.asked = [asked(status=503)]
+        self.promises.runs = [run()]
+        self.assert_broken("not_run")
+
+    def test_request_that_nobody_sent(self):
+        self.promises.runs = [run()]
+        self.assert_broken("unasked")
+
+    def test_home_left(self):
+        self.promises.asked = [asked(path="/home/x")]
+        self.promises.runs = [run(path="/home/x", data_centre="west-a")]
+        self.assert_broken("homes")
+
+    def test_work_for_a_leaving_server(self):
+        self.promises.asked = [asked()]
+        self.promises.leaving = {"i-1": 1.0}
+        self.promises.runs = [run(at_s=3.5)]
+        self.assert_broken("leaving")
+        self.promises.unstable = [Span(0.0, 2.0)]
+        self.assertEqual(self.promises.broken(), [])
+
+    def test_work_in_an_evacuated_data_centre(self):
+        self.promises.asked = [asked()]
+        self.promises.out = {"east-a": [(1.0, 20.0)]}
+        self.promises.runs = [run(at_s=7.0)]
+        self.assert_broken("evacuation")
+
+    def test_old_route(self):
+        self.promises.asked = [asked(path="/move/x", sent_s=5.0)]
+        self.promises.moved = [(1.0, "/move/", "alpha", "beta")]
+        self.promises.runs = [run(path="/move/x", at_s=5.0)]
+        self.assert_broken("config")
+
+    def test_cut_by_a_planned_stop(self):
+        self.promises.asked = [asked(status=0, sent_s=11.0, ended_s=11.5)]
+        self.promises.stops = [("h1", 10.0)]
+        self.assert_broken("planned_stop")
+
+
+class ShortRunTest(unittest.TestCase):
+    def play(self, seed, duration_s):
+        world = asyncio.run(run_soak(seed, duration_s, daemons=2, callers=8, keep=None))
+        self.assertEqual(world.findings, [])
+        self.assertGreater(len(world.promises.asked), 100)
+
+    def test_short_run_keeps_the_promises(self):
+        """Guards against broken promises of the real programs under faults."""
+        self.play(CI_SEED, CI_DURATION_S)
+
+    def test_seeds_that_failed_before(self):
+        """Guards against the return of failures that the soak has found."""
+        for seed, cause in REGRESSION_SEEDS.items():
+            with self.subTest(seed=seed, cause=cause):
+                self.play(seed, 12.0)
