Divide large data centres into groups of hosts with their share of the servers

Change: groups of eight hosts; the reader of the data centre tells the first two hosts of each group what it has read; servers outside the group are sampled.

--- a/src/crocusward/entryd/_hub.py
+++ b/src/crocusward/entryd/_hub.py
@@ -33,8 +33,8 @@
 ASK_FACTOR = 1.5  # times the usual time of an answer
 ASK_PAUSE_S = 2.0  # for which a host that did not answer is not asked
 ASK_GAIN = 0.1
-DIGEST_S = 0.3  # period of digests to data centres of the region
-FAR_DIGEST_S = 1.0  # the same to other regions, over the link billed by volume
+DIGEST_S = 0.5  # period of digests to other groups of the region
+UPSTREAM_HOSTS = 2  # of each group hear of the reader, so that one may be lost
 HELLO_PERIOD_S = 1.0
 HELLO_ROUNDS = 5
 
@@ -48,10 +48,12 @@
         timer: Source of time.
         rng: Chooses whom to ask.
         book: Loads of the backend servers.
-        peers: The neighbours.
+        peers: The neighbours: the hosts of this group.
+        upstream: Readers of the data centre in other groups.
         sampler: Logs malformed datagrams.
         versions: Returns the version of each table.
         store_age_s: Returns the time since the last answer of the store.
+        is_reader: Returns whether this host reads the store.
         on_room: Called with services that may have room.
         on_report: Called after each report.
         offer: Keeps a place at a backend server here for another data centre.
@@ -62,6 +64,9 @@
         "leaving",
         "waiting",
         "_facts",
+        "_groups",
+        "_upstream",
+        "_is_reader",
         "_sampler",
         "_rng",
         "_incarnation",
@@ -99,9 +104,11 @@
         rng: random.Random,
         book: LoadBook,
         peers: NeighbourTable,
+        upstream: NeighbourTable,
         sampler: EventSampler,
         versions: Callable[[], dict[str, int]],
         store_age_s: Callable[[], float],
+        is_reader: Callable[[], bool],
         on_room: Callable[[str], None],
         on_report: Callable[[], None],
         offer: Callable[..., Awaitable[str]],
@@ -109,6 +116,9 @@
     ) -> None:
         self.leaving = False
         self._facts = facts
+        self._groups = book.groups
+        self._upstream = upstream
+        self._is_reader = is_reader
         self._sampler = sampler
         self._rng = rng
         self._incarnation = incarnation
@@ -149,8 +159,7 @@
         self._greet_seeds()
         self._schedule_report()
         self._subs.append(self._timer.every(HELLO_PERIOD_S, self._greet_seeds))
-        self._subs.append(self._timer.every(DIGEST_S, self._send_near_digests))
-        self._subs.append(self._timer.every(FAR_DIGEST_S, self._send_far_digests))
+        self._subs.append(self._timer.every(DIGEST_S, self._send_digests))
 
     def close(self) -> None:
         """Stop."""
@@ -187,13 +196,36 @@
             return
         known = self._hosts.get(host.host)
         self._hosts[host.host] = host
-        if host.data_centre != self._facts.data_centre:
+        if known is None or known.data_centre != host.data_centre:
+            self._regroup()
+        if self._groups.of_host(host.host) != self._groups.own:
             return
-        is_new = self._peers.add(host.host, host.address, self._timer.now())
-        if is_new or known is None or known.address != host.address:
-            log_event("neighbour_known", host=host.host, address=host.address)
-            self._endpoint.send(self._hello(), [host.address])
-            self._endpoint.send(self._report(complete=True), [host.address])
+        if known is None or known.address != host.address:
+            self._greet(host)
+
+    def _greet(self, host: KnownHost) -> None:
+        self._peers.add(host.host, host.address, self._timer.now())
+        log_event("neighbour_known", host=host.host, address=host.address)
+        self._endpoint.send(self._hello(), [host.address])
+        self._endpoint.send(self._report(complete=True), [host.address])
+
+    def _regroup(self) -> None:
+        """Work the groups out anew, and who is a neighbour."""
+        by_data_centre: dict[str, list[str]] = {}
+        for host in self._hosts.values():
+            by_data_centre.setdefault(host.data_centre, []).append(host.host)
+        if not self._groups.set_hosts(by_data_centre):
+            return
+        self._book.regroup()
+        for name in list(self._peers.peers):
+            if self._groups.of_host(name) != self._groups.own:
+                del self._peers.peers[name]
+                self._book.forget_host(name)
+        for host in list(self._hosts.values()):
+            is_own = self._groups.of_host(host.host) == self._groups.own
+            known = host.host in self._peers.peers or host.host == self._facts.name
+            if is_own and not known:
+                self._greet(host)
 
     # Messages.
 
@@ -233,6 +265,9 @@
             return
         if report.host not in self._hosts:
             self._add(KnownHost(report.host, sender, report.data_centre))
+        if self._groups.of_host(report.host) != self._groups.own:
+            self._take_foreign(report, sender)
+            return
         peer = self._peers.take(report, sender, self._timer.now())
         if peer is None:
             return
@@ -245,32 +280,48 @@
             self._on_room(service)
         self._on_report()
 
-    # Room in this data centre, told to the others by the first host in rank.
+    def _take_foreign(self, report: HostReport, sender: str) -> None:
+        """Take over what the reader of the data centre tells the other groups."""
+        if self._upstream.take(report, sender, self._timer.now()) is not None:
+            self._on_report()
 
-    def _send_near_digests(self) -> None:
-        self._send_digests(in_region=True)
-
-    def _send_far_digests(self) -> None:
-        self._send_digests(in_region=False)
-
-    def _send_digests(self, *, in_region: bool) -> None:
-        own = self._facts.data_centre
+    def _report_upstream(self) -> None:
+        """Tell the first hosts of the other groups what this reader has read."""
+        if not self._is_reader():
+            return
+        audience: dict[str, list[str]] = {}
+        for name in sorted(self._hosts):
+            host = self._hosts[name]
+            group = self._groups.of_host(name)
+            if host.data_centre == self._facts.data_centre and (
+                group != self._groups.own
+            ):
+                audience.setdefault(group, []).append(host.address)
+        addresses = [a for found in audience.values() for a in found[:UPSTREAM_HOSTS]]
+        if addresses:
+            self._endpoint.send(self._report(complete=True), addresses)
+
+    # Room in this group, told to the others of the region by the first in rank.
+
+    def _send_digests(self) -> None:
+        own = self._groups.own
         live = self._peers.live(self._timer.now())
         if self.leaving or any(peer.host < self._facts.name for peer in live):
             return
         others: dict[str, list[KnownHost]] = {}
         for host in self._hosts.values():
+            group = self._groups.of_host(host.host)
             region = self._facts.regions.get(host.data_centre)
-            if host.data_centre != own and (region == self._facts.region) == in_region:
-                others.setdefault(host.data_centre, []).append(host)
-        digest = LoadDigest(own, self._book.idle_here(own))
+            if group != own and region == self._facts.region:
+                others.setdefault(group, []).append(host)
+        digest = LoadDigest(own, self._book.idle_here())
         for hosts in others.values():
             self._endpoint.send(digest, [self._rng.choice(hosts).address])
 
     # Places in other data centres.
 
     async def ask(
-        self, place: PlaceRequest, data_centre: str, shared: bool, wait_s: float
+        self, place: PlaceRequest, group: str, shared: bool, wait_s: float
     ) -> KeptPlace | None:
         """Ask a host of another data centre for a place at a server there.
 
@@ -281,7 +332,7 @@
         hosts = [
             host
             for host in self._hosts.values()
-            if host.data_centre == data_centre
+            if self._groups.of_host(host.host) == group
             and self._unasked_until_s.get(host.host, -1.0) < now_s
         ]
         if not hosts:
@@ -295,7 +346,7 @@
             token, place.service, place.route.name, place.work_s, shared, wait_s
         )
         self._endpoint.send(ask, [host.address])
-        usual_s = self._ask_s.get(data_centre, ASK_FIRST_S)
+        usual_s = self._ask_s.get(group, ASK_FIRST_S)
         try:
             async with asyncio.timeout(wait_s + ASK_FACTOR * usual_s + ASK_MARGIN_S):
                 found = await fut
@@ -310,7 +361,7 @@
         took_s = self._timer.now() - now_s
         if wait_s > 0.0:
             took_s = min(took_s, usual_s)  # the wait there is no part of the way
-        self._ask_s[data_centre] = usual_s + ASK_GAIN * (took_s - usual_s)
+        self._ask_s[group] = usual_s + ASK_GAIN * (took_s - usual_s)
         self._sampler.log(
             "place_asked",
             Level.INFO,
@@ -350,6 +401,7 @@
     def announce_versions(self) -> None:
         """Report at once that this host has newer rows."""
         self._send(self._report(complete=False))
+        self._report_upstream()
 
     def _flush(self) -> None:
         self._flush_due = False
@@ -393,6 +445,7 @@
         self._schedule_report()
         if self._peers.peers:
             self._send(self._report(complete=True))
+        self._report_upstream()
         self._watch_silence()
 
     def _watch_silence(self) -> None:
@@ -407,4 +460,5 @@
         for host in self._peers.expire(now_s):
             self._silent.discard(host)
             self._hosts.pop(host, None)
+            self._regroup()
             log_event("neighbour_forgotten", host=host)
--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -14,7 +14,7 @@
 from ..errors import ConflictError, CrocusError
 from ..logs import EventSampler, Level, LogPipe, log_event
 from ..neighbours import NeighbourTable
-from ..placing import LoadBook, Placer, RetryAllowance, WorkTimes
+from ..placing import Groups, LoadBook, Placer, RetryAllowance, WorkTimes
 from ..platform import (
     READY_PATH,
     TABLE_BACKENDS,
@@ -116,9 +116,13 @@
         self.sampler = EventSampler(self.timer.now, LOG_LINES_PER_S)
         self.directory = Directory(facts.regions)
         self.book = LoadBook(
-            self.directory, self.timer.now, lambda: time.time() * 1000.0
+            self.directory,
+            Groups(facts.name, facts.data_centre),
+            self.timer.now,
+            lambda: time.time() * 1000.0,
         )
         self.peers = NeighbourTable(facts.name)
+        self.upstream = NeighbourTable(facts.name)
         self._store_pool = HttpPool(self.timer, connections=STORE_CONNECTIONS)
         self._backend_pool = HttpPool(
             self.timer,
@@ -135,9 +139,11 @@
             self._rng,
             self.book,
             self.peers,
+            self.upstream,
             self.sampler,
             self._versions,
-            lambda: self.timer.now() - self._answered_s(),
+            lambda: self.timer.now() - self._fresh_s(),
+            self._is_reader,
             lambda service: self.relay.room_changed(service),
             lambda: self.rows.check(),
             lambda *ask: self.places.offer(*ask),
@@ -153,7 +159,6 @@
             self.directory,
             self.book,
             times,
-            facts.data_centre,
             facts.region,
             self._rng,
         )
@@ -164,7 +169,6 @@
             placer,
             self.hub,
             self.sampler,
-            facts.data_centre,
             PaceProber(self.timer, self.directory, times, link),
         )
         self.relay = Relay(
@@ -188,7 +192,7 @@
         self.rows = NeighbourRows(
             self.timer,
             self.followers,
-            self.peers,
+            (self.peers, self.upstream),
             HttpPool(self.timer, connections=STORE_CONNECTIONS),
             facts.peer_ports[0],
             self.sampler,
@@ -219,8 +223,24 @@
     def _answered_s(self) -> float:
         return min(item.answered_s for item in self.followers.values())
 
+    def _fresh_s(self) -> float:
+        """Return up to when this host's rows are known to be current.
+
+        Rows taken from a reader in another group are as current as the reader's.
+        """
+        now_s = self.timer.now()
+        versions = self._versions()
+        fresh_s = self._answered_s()
+        for peer in self.upstream.live(now_s):
+            if all(versions.get(t, -1) >= v for t, v in peer.versions.items()):
+                fresh_s = max(fresh_s, peer.store_s)
+        return fresh_s
+
     def _is_reader(self) -> bool:
-        return self.peers.is_reader(self.timer.now(), self._answered_s())
+        now_s = self.timer.now()
+        if not self.upstream.is_reader(now_s, self._answered_s()):
+            return False
+        return self.peers.is_reader(now_s, self._answered_s())
 
     def _versions(self) -> dict[str, int]:
         return {name: item.copy.version for name, item in self.followers.items()}
--- a/src/crocusward/entryd/_reader.py
+++ b/src/crocusward/entryd/_reader.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from functools import partial
 
 import cbor2
@@ -171,7 +171,7 @@
     Args:
         timer: Source of time.
         followers: Followers by table.
-        peers: Known neighbours.
+        peers: Tables of hosts that may have newer rows.
         pool: Connections to neighbours.
         port: Port on which daemons answer each other.
         sampler: Logs failures.
@@ -191,7 +191,7 @@
         self,
         timer: TimerService,
         followers: dict[str, TableFollower],
-        peers: NeighbourTable,
+        peers: Sequence[NeighbourTable],
         pool: HttpPool,
         port: int,
         sampler: EventSampler,
@@ -210,7 +210,9 @@
         for table, follower in self._followers.items():
             if table in self._busy:
                 continue
-            peer = self._peers.source_of(table, follower.copy.version, now_s)
+            version = follower.copy.version
+            found = [p.source_of(table, version, now_s) for p in self._peers]
+            peer = next((item for item in found if item is not None), None)
             if peer is not None:
                 task = asyncio.get_running_loop().create_task(
                     self._pull(table, follower, peer)
--- a/src/crocusward/placing/__init__.py
+++ b/src/crocusward/placing/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from ._book import LoadBook
+from ._groups import Groups, data_centre_of
 from ._load import BackendLoad
 from ._placer import Choice, Placer, PlaceRequest, Refused, Verdict
 from ._queue import QueuedRequest, RequestQueue
@@ -14,6 +15,7 @@
 __all__ = [
     "BackendLoad",
     "Choice",
+    "Groups",
     "LoadBook",
     "PlaceRequest",
     "Placer",
@@ -24,4 +26,5 @@
     "Verdict",
     "WeightedSplit",
     "WorkTimes",
+    "data_centre_of",
 ]
--- a/src/crocusward/placing/_book.py
+++ b/src/crocusward/placing/_book.py
@@ -4,6 +4,7 @@
 
 from ..desired import BackendEntry, Directory
 from ..neighbours import HostReport
+from ._groups import Groups
 from ._load import BackendLoad
 
 IDLE_MEMORY_S = 2.5  # digests come about once a second
@@ -14,21 +15,34 @@
 
     Args:
         directory: The list of backend servers.
+        groups: Groups of hosts.
         now: Monotonic clock, in seconds.
         unix_ms: Clock of the day, in milliseconds.
     """
 
-    __slots__ = ("loads", "by_service", "_directory", "_now", "_unix_ms", "_idle")
+    __slots__ = (
+        "loads",
+        "by_service",
+        "_directory",
+        "_now",
+        "_unix_ms",
+        "_idle",
+        "groups",
+        "_grouped",
+    )
 
     def __init__(
         self,
         directory: Directory,
+        groups: Groups,
         now: Callable[[], float],
         unix_ms: Callable[[], float],
     ) -> None:
         self.loads: dict[str, BackendLoad] = {}
         self.by_service: dict[str, list[BackendLoad]] = {}
         self._idle: dict[tuple[str, str], tuple[float, float]] = {}
+        self.groups = groups
+        self._grouped: dict[tuple[str, str], list[BackendLoad]] | None = None
         self._directory = directory
         self._now = now
         self._unix_ms = unix_ms
@@ -40,6 +54,8 @@
             self._drop(old.id)
         if new is None:
             return
+        if old is None or self._is_other_run(old, new):
+            self._grouped = None
         load = self.loads.get(new.id)
         if load is None:
             load = BackendLoad(new, self._directory.region_of(new.data_centre))
@@ -59,6 +75,7 @@
 
     def _drop(self, id: str) -> None:
         load = self.loads.pop(id, None)
+        self._grouped = None
         if load is not None:
             self.by_service[load.entry.service].remove(load)
 
@@ -116,31 +133,46 @@
                 touched.add(load.entry.service)
         return touched
 
-    def take_idle(self, data_centre: str, idle: Mapping[str, int]) -> None:
-        """Take over the share of idle servers that a data centre reports."""
+    def regroup(self) -> None:
+        """Divide the servers anew, after the hosts have changed."""
+        self._grouped = None
+
+    def in_group(self, service: str, group: str) -> list[BackendLoad]:
+        """Return the servers of a service that belong to a group."""
+        if self._grouped is None:
+            self._grouped = {}
+            for name, loads in self.by_service.items():
+                found = self.groups.of_servers(load.entry for load in loads)
+                for load in loads:
+                    load.group = found[load.entry.id]
+                    self._grouped.setdefault((name, load.group), []).append(load)
+        return self._grouped.get((service, group), [])
+
+    def take_idle(self, group: str, idle: Mapping[str, int]) -> None:
+        """Take over the share of idle servers that another group reports."""
         now_s = self._now()
         for service, percent in idle.items():
-            self._idle[(data_centre, service)] = (percent / 100.0, now_s)
+            self._idle[(group, service)] = (percent / 100.0, now_s)
 
-    def idle_elsewhere(self, data_centre: str, service: str, now_s: float) -> float:
-        """Return the share of idle servers of another data centre, 0 if unknown."""
-        share, known_s = self._idle.get((data_centre, service), (0.0, -1e9))
+    def idle_elsewhere(self, group: str, service: str, now_s: float) -> float:
+        """Return the share of idle servers of another group, 0 if unknown."""
+        share, known_s = self._idle.get((group, service), (0.0, -1e9))
         return share if now_s - known_s < IDLE_MEMORY_S else 0.0
 
-    def idle_here(self, data_centre: str) -> dict[str, int]:
-        """Return the percentage of idle servers of a data centre by service."""
+    def idle_here(self) -> dict[str, int]:
+        """Return the percentage of idle servers of the own group by service."""
         now_s = self._now()
         found = {}
-        for service, loads in self.by_service.items():
+        for service in self.by_service:
             own = [
                 load
-                for load in loads
-                if load.entry.data_centre == data_centre
-                and not load.entry.leaving
+                for load in self.in_group(service, self.groups.own)
+                if not load.entry.leaving
                 and not load.misdirected
                 and now_s >= load.closed_until_s
             ]
-            if own and data_centre not in self._directory.out:
+            own = [x for x in own if x.entry.data_centre not in self._directory.out]
+            if own:
                 idle = sum(load.in_flight(now_s) < 1.0 for load in own)
                 found[service] = 100 * idle // len(own)
         return found
--- a/src/crocusward/placing/_load.py
+++ b/src/crocusward/placing/_load.py
@@ -28,6 +28,7 @@
     Attributes:
         entry: The server as listed.
         region: Its region.
+        group: Group of hosts that place requests on it.
         own: Requests of this host in flight there.
         neighbours: Requests of neighbours in flight there, by host.
         tried: Whether any host of the data centre has sent to it.
@@ -42,6 +43,7 @@
     __slots__ = (
         "entry",
         "region",
+        "group",
         "own",
         "neighbours",
         "tried",
@@ -68,6 +70,7 @@
     def __init__(self, entry: BackendEntry, region: str) -> None:
         self.entry = entry
         self.region = region
+        self.group = ""
         self.own = 0
         self.neighbours: dict[str, int] = {}
         self.tried = False
--- a/src/crocusward/placing/_placer.py
+++ b/src/crocusward/placing/_placer.py
@@ -1,13 +1,14 @@
 """Chooses a backend server, or says that a request should wait or be refused."""
 
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Sequence
 from enum import Enum
 
 from ..desired import Directory, RouteRule, ServiceRule
 from ..errors import CrocusError
 from ..model import Record
 from ._book import LoadBook
+from ._groups import data_centre_of
 from ._load import BackendLoad
 from ._work import WorkTimes
 
@@ -15,7 +16,9 @@
 # known here; the link between regions is narrow and billed by volume, the one between
 # data centres is billed less.
 OTHER_DATA_CENTRE = 0.4
+OTHER_GROUP = 0.2
 OTHER_REGION = 1.2
+SAMPLED = 48  # servers outside the group that are looked at for one request
 CONNECT_S = 0.004  # cost of a new connection: a handshake at the server, and its price
 IDLE_ELSEWHERE = 0.3  # share of idle servers from which another data centre has room
 # Share of failing servers above which their failures say nothing of a single one, and
@@ -116,7 +119,7 @@
         free: Servers that could take the request.
         idle: Share of the usable servers that have no request.
         patience_s: How long waiting for a server of its own is worth it.
-        near_by: Usable servers of this data centre.
+        near_by: Usable servers of this group.
         runners_up: Other servers with room here, the best first.
         release: Gives back a place that another data centre keeps, or None.
         begun_s: When the request was counted at the server, or None.
@@ -179,7 +182,7 @@
     Attributes:
         sharing: How much longer work takes on a server that is shared.
         usable: Servers that may run it, also those that are full.
-        near_by: Those of them in this data centre.
+        near_by: Those of them in this group.
         idle: Those of them without a request.
         rate: Requests that the near ones finish within the time of one.
         candidates: Servers with room, the best first.
@@ -216,26 +219,23 @@
         directory: Desired state and data centres out of service.
         book: Loads of the servers.
         times: Learned times of work.
-        data_centre: Data centre of this host.
         region: Region of this host.
         rng: Breaks ties.
     """
 
-    __slots__ = ("_directory", "_book", "_times", "_data_centre", "_region", "_rng")
+    __slots__ = ("_directory", "_book", "_times", "_region", "_rng")
 
     def __init__(
         self,
         directory: Directory,
         book: LoadBook,
         times: WorkTimes,
-        data_centre: str,
         region: str,
         rng: random.Random,
     ) -> None:
         self._directory = directory
         self._book = book
         self._times = times
-        self._data_centre = data_centre
         self._region = region
         self._rng = rng
 
@@ -256,7 +256,7 @@
         *,
         ahead: int = 0,
         may_wait: bool = True,
-        own_data_centre: bool = False,
+        own_group: bool = False,
         avoid: Collection[str] = (),
     ) -> Choice:
         """Decide on a request.
@@ -266,8 +266,8 @@
             now_s: Monotonic time.
             ahead: Waiting requests that go before it.
             may_wait: Whether it may go on waiting for a server of its own.
-            own_data_centre: Consider only servers of this data centre.
-            avoid: Data centres that have no room.
+            own_group: Consider only servers of this group.
+            avoid: Groups that have no room.
 
         Raises:
             Refused: No server can answer it in time.
@@ -278,7 +278,7 @@
             raise Refused(
                 "the service is unknown", RETRY_AFTER_MAX_S, code="no_service"
             )
-        survey = self._survey(req, rule, now_s, own_data_centre, avoid)
+        survey = self._survey(req, rule, now_s, own_group, avoid)
         if not survey.usable:
             raise Refused(
                 "no usable backend server",
@@ -292,32 +292,33 @@
         req: PlaceRequest,
         rule: ServiceRule,
         now_s: float,
-        own_data_centre: bool,
+        own_group: bool,
         avoid: Collection[str],
     ) -> "_Survey":
         """Rate the servers that may run a request."""
         sharing = self._times.sharing(req.service)
         speed = self._times.usual_speed(req.service)
         survey = _Survey(sharing)
-        allowed = [
-            load
-            for load in self._book.by_service.get(req.service, ())
-            if self.is_allowed(load, req.route)
-        ]
+        own = self._book.groups.own
+        allowed = self._allowed(self._book.in_group(req.service, own), req)
+        if not own_group and not any(load.in_flight(now_s) < 1.0 for load in allowed):
+            others = self._book.by_service.get(req.service, [])
+            if len(others) > SAMPLED:
+                others = self._rng.sample(others, SAMPLED)
+            others = [load for load in others if load.group != own]
+            allowed = allowed + self._allowed(others, req)
         closed = sum(now_s < load.closed_until_s for load in allowed)
         ignores_closing = closed > PANIC_SHARE * len(allowed)
         for load in allowed:
             entry = load.entry
-            is_own = entry.data_centre == self._data_centre
-            if own_data_centre and not is_own:
-                continue
+            is_own = load.group == own
             if not self._is_open(load, req, now_s, ignores_closing):
                 continue
             count = load.in_flight(now_s)
             if not is_own:
                 count = max(count, self._least_count(load, now_s))
             survey.count(entry.slots, count, is_own)
-            if entry.data_centre in avoid or count + 1.0 > entry.slots:
+            if load.group in avoid or count + 1.0 > entry.slots:
                 continue
             if not self._bears(load, rule, now_s):
                 continue
@@ -369,14 +370,19 @@
         choice.runners_up = [
             found.load
             for found in survey.candidates[1:RUNNERS_UP]
-            if found.load.entry.data_centre == self._data_centre
+            if found.load.group == self._book.groups.own
         ]
         return choice
 
+    def _allowed(
+        self, loads: Sequence[BackendLoad], req: PlaceRequest
+    ) -> list[BackendLoad]:
+        return [load for load in loads if self.is_allowed(load, req.route)]
+
     def _least_count(self, load: BackendLoad, now_s: float) -> float:
-        """Return the requests to expect at a server of another data centre."""
+        """Return the requests to expect at a server of another group."""
         entry = load.entry
-        share = self._book.idle_elsewhere(entry.data_centre, entry.service, now_s)
+        share = self._book.idle_elsewhere(load.group, entry.service, now_s)
         return 0.0 if share >= IDLE_ELSEWHERE else 1.0
 
     def _is_open(
@@ -398,7 +404,7 @@
         if not load.is_cold(now_s):
             return True
         sends = load.sends_last_second(now_s)
-        if load.entry.data_centre == self._data_centre:
+        if load.group == self._book.groups.own:
             return sends < max(1, int(rule.cold_rate))
         return sends == 0 and load.own == 0
 
@@ -428,9 +434,14 @@
         now_s: float,
     ) -> float:
         extra_s = self._rng.random() * 1e-3
-        if load.entry.data_centre != self._data_centre:
-            is_near = load.region == self._region
-            extra_s += req.work_s * (OTHER_DATA_CENTRE if is_near else OTHER_REGION)
+        own = self._book.groups.own
+        if load.group != own:
+            if load.region != self._region:
+                extra_s += req.work_s * OTHER_REGION
+            elif load.entry.data_centre != data_centre_of(own):
+                extra_s += req.work_s * OTHER_DATA_CENTRE
+            else:
+                extra_s += req.work_s * OTHER_GROUP
         if not load.tried:
             extra_s -= UNTRIED_BONUS_S
         elif not load.idle_connections:
--- a/src/crocusward/relay/_places.py
+++ b/src/crocusward/relay/_places.py
@@ -28,7 +28,7 @@
 
 
 class KeptPlace(Record):
-    """A place at a backend server that a host of another data centre keeps.
+    """A place at a backend server that a host of another group keeps.
 
     Attributes:
         backend: Id of the server, or ``FULL``.
@@ -45,19 +45,19 @@
 
 
 class Announcer(Protocol):
-    """Tells neighbours of requests in flight, and asks other data centres."""
+    """Tells neighbours of requests in flight, and asks other groups."""
 
     def announce(self, load: BackendLoad, seen: Sighting | None) -> None:
         """Report a change at a backend server."""
 
     async def ask(
-        self, place: PlaceRequest, data_centre: str, shared: bool, wait_s: float
+        self, place: PlaceRequest, group: str, shared: bool, wait_s: float
     ) -> KeptPlace | None:
-        """Ask a host of another data centre for a place at a server there.
+        """Ask a host of another group for a place at a server there.
 
         Args:
             place: The request.
-            data_centre: The data centre.
+            group: The group.
             shared: Whether a server that has a request already will do.
             wait_s: How long the request may wait there.
 
@@ -67,14 +67,14 @@
         """
 
     def release(self, kept: KeptPlace) -> None:
-        """Give a place of another data centre back."""
+        """Give a place of another group back."""
 
 
 class PlaceFinder:
     """Finds places for the requests of this host and of other data centres.
 
-    Loads of other data centres are not known here, so that a request leaves its data
-    centre only with a place that a host there has kept for it.
+    Loads of other groups are not known here, so that a request leaves its group only
+    with a place that a host there has kept for it.
 
     Args:
         timer: Source of time.
@@ -83,7 +83,6 @@
         placer: Chooses servers.
         announcer: Tells and asks others.
         sampler: Logs decisions.
-        data_centre: Data centre of this host.
         prober: Refreshes the pace of servers before a choice, or None.
     """
 
@@ -95,7 +94,6 @@
         "_placer",
         "_announcer",
         "_sampler",
-        "_data_centre",
         "_queues",
         "_kept",
         "_checking",
@@ -109,7 +107,6 @@
         placer: Placer,
         announcer: Announcer,
         sampler: EventSampler,
-        data_centre: str,
         prober: PaceProber | None = None,
     ) -> None:
         self._prober = prober
@@ -119,7 +116,6 @@
         self._placer = placer
         self._announcer = announcer
         self._sampler = sampler
-        self._data_centre = data_centre
         self._queues: dict[str, RequestQueue] = {}
         self._checking = False
         self._kept: dict[tuple[str, int], BackendLoad] = {}
@@ -152,7 +148,7 @@
                     return choice
                 is_patient = False
                 full.clear()
-            elif load.entry.data_centre == self._data_centre:
+            elif load.group == self._book.groups.own:
                 if self._prober is not None and is_fresh:
                     is_fresh = False
                     if await self._prober.refresh(choice, place.service):
@@ -163,7 +159,7 @@
                 if found is not None:
                     return found
                 if choice.near_by:
-                    full.add(load.entry.data_centre)
+                    full.add(load.group)
                 elif is_patient:
                     # The next question accepts a shared server and a longer wait.
                     is_patient = False
@@ -184,8 +180,8 @@
             left_s = place.deadline_s - self._timer.now() - place.work_s
             wait_s = min(choice.patience_s, left_s) if is_patient else left_s
         shared = not is_patient and not choice.near_by
-        data_centre = choice.load.entry.data_centre
-        kept = await self._announcer.ask(place, data_centre, shared, max(0.0, wait_s))
+        group = choice.load.group
+        kept = await self._announcer.ask(place, group, shared, max(0.0, wait_s))
         if kept is None:
             return None if choice.near_by else choice
         found = self._book.loads.get(kept.backend)
@@ -241,7 +237,7 @@
                 continue
             try:
                 choice = self._placer.choose(
-                    item.req, now_s, may_wait=not item.shares, own_data_centre=True
+                    item.req, now_s, may_wait=not item.shares, own_group=True
                 )
             except Refused as exc:
                 if exc.code == "no_backend":
@@ -282,7 +278,7 @@
         shared: bool,
         wait_s: float,
     ) -> str:
-        """Keep a place for a host of another data centre.
+        """Keep a place for a host of another group.
 
         Args:
             key: Address of the host and number of its question.
@@ -315,7 +311,7 @@
                 now_s,
                 ahead=queue.ahead_of(place, now_s),
                 may_wait=not shared,
-                own_data_centre=True,
+                own_group=True,
             )
             is_idle_only = not shared and wait_s <= 0.0
             if choice.load is None or (choice.in_flight >= 1.0 and is_idle_only):
--- a/tests/entry_support.py
+++ b/tests/entry_support.py
@@ -13,7 +13,7 @@
     WeightedService,
 )
 from crocusward.logs import EventSampler
-from crocusward.placing import LoadBook, Placer, RetryAllowance, WorkTimes
+from crocusward.placing import Groups, LoadBook, Placer, RetryAllowance, WorkTimes
 from crocusward.relay import BackendLink, Listener, PlaceFinder, Relay
 from crocusward.timing import LoopTimer
 from crocusward.upstream import HttpPool
@@ -66,7 +66,7 @@
     def announce(self, load, seen):
         self.seen.append((load.entry.id, seen))
 
-    async def ask(self, place, data_centre, shared, wait_s):
+    async def ask(self, place, group, shared, wait_s):
         return None
 
 
@@ -77,7 +77,9 @@
         loop = asyncio.get_running_loop()
         self.timer = LoopTimer(loop, random.Random(1))
         self.directory = Directory(REGIONS)
-        self.book = LoadBook(self.directory, self.timer.now, lambda: 0.0)
+        self.book = LoadBook(
+            self.directory, Groups("h1", "east-a"), self.timer.now, lambda: 0.0
+        )
         self.directory.set_state(state or desired())
         self.directory.listed = True
         for entry in backends:
@@ -86,9 +88,7 @@
         self.retries = RetryAllowance(0.2, reserve, 10.0)
         self.announcer = RecordingAnnouncer()
         self.pool = HttpPool(self.timer, connections=8, connect_timeout_s=0.3)
-        placer = Placer(
-            self.directory, self.book, times, "east-a", "east", random.Random(1)
-        )
+        placer = Placer(self.directory, self.book, times, "east", random.Random(1))
         sampler = EventSampler(self.timer.now, 0)
         self.places = PlaceFinder(
             self.timer,
@@ -97,7 +97,6 @@
             placer,
             self.announcer,
             sampler,
-            "east-a",
         )
         self.relay = Relay(
             self.timer,
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -6,6 +6,7 @@
 from crocusward.desired import WeightedService
 from crocusward.neighbours import HostReport, Sighting, SightingKind
 from crocusward.placing import (
+    Groups,
     LoadBook,
     Placer,
     PlaceRequest,
@@ -27,7 +28,9 @@
     def __init__(self, *entries, state=None, unix_ms=0.0):
         self.now_s = 100.0
         self.directory = directory(state=state)
-        self.book = LoadBook(self.directory, lambda: self.now_s, lambda: unix_ms)
+        self.book = LoadBook(
+            self.directory, Groups("h1", "east-a"), lambda: self.now_s, lambda: unix_ms
+        )
         for entry in entries:
             self.directory.set_backend(entry.id, entry)
         for load in self.book.loads.values():
@@ -35,7 +38,7 @@
             load.idle_connections = 1
         self.times = WorkTimes()
         self.placer = Placer(
-            self.directory, self.book, self.times, "east-a", "east", random.Random(1)
+            self.directory, self.book, self.times, "east", random.Random(1)
         )
 
     def request(self, rule=None, **options):
@@ -101,7 +104,7 @@
         """Guards against a full narrow link while servers here merely are busy."""
         bench = Bench(backend("b1", slots=1), backend("b2", "west-a"))
         bench.book.loads["b1"].begin(bench.now_s)
-        bench.book.take_idle("west-a", {"svc": 100})
+        bench.book.take_idle("west-a#0", {"svc": 100})
         self.assertIs(bench.choose().verdict, Verdict.WAIT)
         bench.directory.set_backend("b1", None)
         self.assertEqual(bench.choose().load.entry.id, "b2")
