Ask another group only if it told of idle servers

Change: servers of other groups are candidates only while their digest shows idle ones, unless nothing of the own group can run the request.

--- a/src/crocusward/placing/_placer.py
+++ b/src/crocusward/placing/_placer.py
@@ -326,10 +326,13 @@
             score_s = time_s + self._extra_s(load, req, count, sharing, now_s)
             survey.candidates.append(_Candidate(load, count, time_s, score_s))
         if survey.near_by:
-            # The link between regions is for requests that cannot run here.
-            region = self._region
+            # The link between regions is for requests that cannot run here, and
+            # another group is asked only if it has told that servers are idle.
             survey.candidates = [
-                c for c in survey.candidates if c.load.region == region
+                found
+                for found in survey.candidates
+                if found.load.group == own
+                or (found.load.region == self._region and found.count < 1.0)
             ]
         survey.candidates.sort(key=lambda found: found.score_s)
         return survey
