--- a/src/crocusward/cli/_main.py
+++ b/src/crocusward/cli/_main.py
@@ -13,6 +13,7 @@
 from ..errors import CrocusError, FindingsError
 from ._contracts import add_contract_commands, add_customer_commands
 from ._exit import ExitCode, ToolError, exit_code_of
+from ._explain import add_explain_command
 from ._fleet import add_hold_commands, add_report_commands, add_state_commands
 from ._tool import Tool
 
@@ -39,6 +40,7 @@
     add_state_commands(app, tool)
     add_hold_commands(app, tool)
     add_report_commands(app, tool)
+    add_explain_command(app, tool)
 
     @app.meta.default
     def launch(
