Log the first list of backend servers as one line

Cause: at the start of a grown fleet each host wrote 252 lines, 35,000 in all. Change: the first complete read is one line with the count; test of the groups.

--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -247,7 +247,8 @@
 
     def _on_change(self, table: str, change: RowChange) -> None:
         had_state = self.directory.state is not None
-        apply_change(self.directory, table, change)
+        is_first = table == TABLE_BACKENDS and not self.directory.listed
+        apply_change(self.directory, table, change, is_first=is_first)
         state = self.directory.state
         if state is not None:
             self.relay.limits = state.limits
@@ -255,8 +256,11 @@
                 self.book.refresh_cold()
 
     def _on_version(self) -> None:
-        if self.followers[TABLE_BACKENDS].copy.version >= 0:
+        version = self.followers[TABLE_BACKENDS].copy.version
+        if version >= 0 and not self.directory.listed:
             self.directory.listed = True
+            count = len(self.directory.backends)
+            log_event("backends_listed", count=count, version=version)
         self.hub.announce_versions()
         for service in list(self.book.by_service):
             self.relay.room_changed(service)
--- a/src/crocusward/platform/_changes.py
+++ b/src/crocusward/platform/_changes.py
@@ -26,15 +26,25 @@
         self.data_centre = data_centre
 
 
-def apply_change(directory: Directory, table: str, change: RowChange) -> None:
-    """Apply one changed row; a row that cannot be read is logged and names nothing."""
+def apply_change(
+    directory: Directory, table: str, change: RowChange, *, is_first: bool = False
+) -> None:
+    """Apply one changed row; a row that cannot be read is logged and names nothing.
+
+    Args:
+        directory: What is changed.
+        table: Name of the table.
+        change: The row.
+        is_first: Whether the row belongs to the first complete read, of which the
+            caller logs the number of rows.
+    """
     if table == TABLE_BACKENDS:
-        _apply_backend(directory, change)
+        _apply_backend(directory, change, is_first)
     elif table == TABLE_OPERATOR:
         _apply_operator(directory, change)
 
 
-def _apply_backend(directory: Directory, change: RowChange) -> None:
+def _apply_backend(directory: Directory, change: RowChange, is_first: bool) -> None:
     if change.value is None:
         log_event("backend_removed", backend=change.key, version=change.version)
         directory.set_backend(change.key, None)
@@ -51,6 +61,9 @@
         )
         directory.set_backend(change.key, None)
         return
+    if is_first:
+        directory.set_backend(entry.id, entry)
+        return
     log_event(
         "backend_listed",
         backend=entry.id,
--- /dev/null
+++ b/tests/test_groups.py
@@ -0,0 +1,53 @@
+"""Groups of hosts in a large data centre, and its share of the servers."""
+
+import unittest
+from collections import Counter
+
+from crocusward.placing import Groups, data_centre_of
+
+from .entry_support import backend
+
+
+def names(count, prefix="h"):
+    return [f"{prefix}{index:03}" for index in range(count)]
+
+
+class GroupsTest(unittest.TestCase):
+    def test_small_data_centre_is_one_group(self):
+        """Guards against splitting the view of a few hosts."""
+        groups = Groups("h000", "east-a")
+        groups.set_hosts({"east-a": names(8)})
+        self.assertEqual({groups.of_host(name) for name in names(8)}, {groups.own})
+
+    def test_large_data_centre_has_groups_of_like_size(self):
+        """Guards against messages that grow with the square of the hosts."""
+        groups = Groups("h000", "east-a")
+        groups.set_hosts({"east-a": names(35)})
+        sizes = Counter(groups.of_host(name) for name in names(35)).values()
+        self.assertLessEqual(max(sizes), 8)
+        self.assertGreaterEqual(min(sizes), 6)
+
+    def test_all_hosts_agree(self):
+        """Guards against two groups that send to the same servers."""
+        hosts = {"east-a": names(20), "west-a": names(9, "w")}
+        views = [Groups("h000", "east-a"), Groups("w004", "west-a")]
+        servers = [backend(f"i-{index}", "east-a") for index in range(30)]
+        for view in views:
+            view.set_hosts(hosts)
+        self.assertEqual(views[0].of_servers(servers), views[1].of_servers(servers))
+        self.assertNotEqual(views[0].own, views[1].own)
+
+    def test_servers_are_shared_evenly(self):
+        """Guards against a group without servers beside one with many."""
+        groups = Groups("h000", "east-a")
+        groups.set_hosts({"east-a": names(24)})
+        servers = [backend(f"i-{index}", "east-a") for index in range(30)]
+        sizes = Counter(groups.of_servers(servers).values())
+        self.assertEqual(sorted(sizes.values()), [10, 10, 10])
+        self.assertEqual({data_centre_of(name) for name in sizes}, {"east-a"})
+
+    def test_change_of_hosts_is_told(self):
+        """Guards against neighbours that stay after the groups changed."""
+        groups = Groups("h000", "east-a")
+        self.assertTrue(groups.set_hosts({"east-a": names(9)}))
+        self.assertFalse(groups.set_hosts({"east-a": names(9)}))
