Ask near groups sooner; look for newer rows only when a report has some

Cause: a profile of a daemon: a third of the time of a report went into looking for newer rows; groups of the same data centre with one idle server of six were never asked. Change: versions are compared first; near groups count as idle from 10%.

--- a/src/crocusward/entryd/_hub.py
+++ b/src/crocusward/entryd/_hub.py
@@ -33,7 +33,8 @@
 ASK_FACTOR = 1.5  # times the usual time of an answer
 ASK_PAUSE_S = 2.0  # for which a host that did not answer is not asked
 ASK_GAIN = 0.1
-DIGEST_S = 0.5  # period of digests to other groups of the region
+NEAR_DIGEST_S = 0.2  # period of digests to other groups of the data centre
+DIGEST_S = 0.5  # the same to those of the region, billed by volume
 UPSTREAM_HOSTS = 2  # of each group hear of the reader, so that one may be lost
 HELLO_PERIOD_S = 1.0
 HELLO_ROUNDS = 5
@@ -55,7 +56,7 @@
         store_age_s: Returns the time since the last answer of the store.
         is_reader: Returns whether this host reads the store.
         on_room: Called with services that may have room.
-        on_report: Called after each report.
+        on_report: Called after a report of newer rows.
         offer: Keeps a place at a backend server here for another data centre.
         end_offer: Gives such a place back.
     """
@@ -159,7 +160,8 @@
         self._greet_seeds()
         self._schedule_report()
         self._subs.append(self._timer.every(HELLO_PERIOD_S, self._greet_seeds))
-        self._subs.append(self._timer.every(DIGEST_S, self._send_digests))
+        self._subs.append(self._timer.every(NEAR_DIGEST_S, self._send_near_digests))
+        self._subs.append(self._timer.every(DIGEST_S, self._send_far_digests))
 
     def close(self) -> None:
         """Stop."""
@@ -278,7 +280,9 @@
             self._book.take_idle(digest.data_centre, digest.idle)
         for service in self._book.take_report(report):
             self._on_room(service)
-        self._on_report()
+        own = self._versions()
+        if any(found > own.get(table, -1) for table, found in report.versions.items()):
+            self._on_report()
 
     def _take_foreign(self, report: HostReport, sender: str) -> None:
         """Take over what the reader of the data centre tells the other groups."""
@@ -303,7 +307,13 @@
 
     # Room in this group, told to the others of the region by the first in rank.
 
-    def _send_digests(self) -> None:
+    def _send_near_digests(self) -> None:
+        self._send_digests(is_near=True)
+
+    def _send_far_digests(self) -> None:
+        self._send_digests(is_near=False)
+
+    def _send_digests(self, *, is_near: bool) -> None:
         own = self._groups.own
         live = self._peers.live(self._timer.now())
         if self.leaving or any(peer.host < self._facts.name for peer in live):
@@ -312,7 +322,8 @@
         for host in self._hosts.values():
             group = self._groups.of_host(host.host)
             region = self._facts.regions.get(host.data_centre)
-            if group != own and region == self._facts.region:
+            in_place = host.data_centre == self._facts.data_centre
+            if group != own and region == self._facts.region and in_place == is_near:
                 others.setdefault(group, []).append(host)
         digest = LoadDigest(own, self._book.idle_here())
         for hosts in others.values():
--- a/src/crocusward/placing/_placer.py
+++ b/src/crocusward/placing/_placer.py
@@ -21,6 +21,7 @@
 SAMPLED = 48  # servers outside the group that are looked at for one request
 CONNECT_S = 0.004  # cost of a new connection: a handshake at the server, and its price
 IDLE_ELSEWHERE = 0.3  # share of idle servers from which another data centre has room
+IDLE_NEAR = 0.1  # the same for another group of the data centre, asked at little cost
 # Share of failing servers above which their failures say nothing of a single one, and
 # closing them would only move their load to the rest.
 PANIC_SHARE = 0.4
@@ -386,7 +387,9 @@
         """Return the requests to expect at a server of another group."""
         entry = load.entry
         share = self._book.idle_elsewhere(load.group, entry.service, now_s)
-        return 0.0 if share >= IDLE_ELSEWHERE else 1.0
+        is_near = entry.data_centre == data_centre_of(self._book.groups.own)
+        enough = IDLE_NEAR if is_near else IDLE_ELSEWHERE
+        return 0.0 if share >= enough else 1.0
 
     def _is_open(
         self, load: BackendLoad, req: PlaceRequest, now_s: float, ignores_closing: bool
