Assert the promises of a request inside the daemon; remove rows of lost hosts

Cause: the entry daemon checked none of its promises at run time, and the rows by which hosts register themselves were never removed. Change: at most once, not run and home regions are checked where they are decided, logged and counted; the first host of a group removes the row of a host that has been silent for a minute. Measured: tests pass, one with a planted repeat.

--- a/src/crocusward/entryd/_exposition.py
+++ b/src/crocusward/entryd/_exposition.py
@@ -25,6 +25,7 @@
         "requests_pending": process.callers.pending,
         "connections": len(process.callers.connections),
         "store_calls": process.store.calls,
+        "invariant_violations": sum(process.invariants.violations.values()),
         "log_lines_dropped": process.dropped_log_lines,
     }
     for name, value in gauges.items():
--- a/src/crocusward/entryd/_hub.py
+++ b/src/crocusward/entryd/_hub.py
@@ -59,6 +59,7 @@
         on_report: Called after a report of newer rows.
         offer: Keeps a place at a backend server here for another data centre.
         end_offer: Gives such a place back.
+        on_forgotten: Called with a host that has been silent for long.
     """
 
     __slots__ = (
@@ -81,6 +82,7 @@
         "_on_report",
         "_offer",
         "_end_offer",
+        "_on_forgotten",
         "_asked",
         "_answering",
         "_ask_s",
@@ -114,6 +116,7 @@
         on_report: Callable[[], None],
         offer: Callable[..., Awaitable[str]],
         end_offer: Callable[[tuple[str, int]], None],
+        on_forgotten: Callable[[str], None],
     ) -> None:
         self.leaving = False
         self._facts = facts
@@ -133,6 +136,7 @@
         self._on_report = on_report
         self._offer = offer
         self._end_offer = end_offer
+        self._on_forgotten = on_forgotten
         self._answering: set[asyncio.Task[None]] = set()
         self._asked: dict[int, asyncio.Future[str]] = {}
         self._ask_s: dict[str, float] = {}
@@ -473,3 +477,4 @@
             self._hosts.pop(host, None)
             self._regroup()
             log_event("neighbour_forgotten", host=host)
+            self._on_forgotten(host)
--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -12,6 +12,7 @@
 
 from ..desired import CallerLimits, Directory, HostFacts, RowChange
 from ..errors import ConflictError, CrocusError
+from ..invariants import Invariants, Violation
 from ..logs import EventSampler, Level, LogPipe, log_event
 from ..neighbours import NeighbourTable
 from ..placing import Groups, LoadBook, Placer, RetryAllowance, WorkTimes
@@ -114,6 +115,7 @@
         self._leaving = False
         self._tasks: list[asyncio.Task[None]] = []
         self.sampler = EventSampler(self.timer.now, LOG_LINES_PER_S)
+        self.invariants = Invariants(self._log_violation)
         self.directory = Directory(facts.regions)
         self.book = LoadBook(
             self.directory,
@@ -148,6 +150,7 @@
             lambda: self.rows.check(),
             lambda *ask: self.places.offer(*ask),
             lambda key: self.places.end_offer(key),
+            self._on_forgotten,
         )
         times = WorkTimes()
         bounds = facts.bounds
@@ -182,6 +185,7 @@
             link,
             self.hub,
             self.sampler,
+            self.invariants,
             facts.limits.memory_mb,
         )
         control = _ControlHandler(self)
@@ -209,6 +213,14 @@
             self._on_version,
         )
 
+    def _log_violation(self, violation: Violation) -> None:
+        self.sampler.log(
+            "invariant_violated",
+            Level.ERROR,
+            invariant=violation.name.value,
+            detail=violation.detail,
+        )
+
     # State.
 
     def is_ready(self) -> bool:
@@ -334,6 +346,26 @@
         self.rows.check()
         self.retries.hosts = max(1, self.hub.fleet_size)
 
+    def _on_forgotten(self, host: str) -> None:
+        """Remove the row of a host that has been silent for long.
+
+        One host of the group does it; a host that was merely cut off is known to the
+        others again as soon as it reports.
+        """
+        live = self.peers.live(self.timer.now())
+        if all(self.facts.name < peer.host for peer in live):
+            self._spawn(self._unregister(host))
+
+    async def _unregister(self, host: str) -> None:
+        try:
+            await self.store.delete_row(TABLE_HOSTS, host, READ_TIMEOUT_S)
+        except CrocusError as exc:
+            self.sampler.log(
+                "unregister_failed", Level.WARNING, host=host, reason=str(exc)
+            )
+        else:
+            log_event("host_unregistered", host=host)
+
     # Settings.
 
     def _reload(self) -> None:
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -4,6 +4,7 @@
 
 from ..desired import CallerLimits, Directory, RouteRule
 from ..errors import NotSentError
+from ..invariants import InvariantName, Invariants
 from ..logs import EventSampler, Level
 from ..metrics import LatencyRecorder
 from ..neighbours import Sighting, SightingKind
@@ -78,6 +79,7 @@
         link: Sends to servers.
         announcer: Tells neighbours.
         sampler: Logs decisions.
+        invariants: Receives the checks of the promises.
         memory_mb: Memory of the host.
     """
 
@@ -94,6 +96,7 @@
         "_link",
         "_announcer",
         "_sampler",
+        "_invariants",
         "_places",
         "_split",
         "_body_bytes",
@@ -113,6 +116,7 @@
         link: BackendLink,
         announcer: Announcer,
         sampler: EventSampler,
+        invariants: Invariants,
         memory_mb: int,
     ) -> None:
         self.limits: CallerLimits = DEFAULT_LIMITS
@@ -127,6 +131,7 @@
         self._link = link
         self._announcer = announcer
         self._sampler = sampler
+        self._invariants = invariants
         self._places = places
         self._split = WeightedSplit()
         self._body_bytes = 0
@@ -292,6 +297,11 @@
         if choice.begun_s is None:
             load.begin(now_s)
             choice.begun_s = now_s
+        self._invariants.check(
+            InvariantName.AT_MOST_ONCE,
+            call.place.route.idempotent or not (call.unknown or call.runs),
+            "a request that may have run is sent again",
+        )
         call.tried.add(load.entry.id)
         call.runs += 1
         self._announcer.announce(load, None)
@@ -315,6 +325,11 @@
         def check() -> None:
             if not self._placer.is_allowed(load, route):
                 raise NotSentError("the server is out of service", code="withdrawn")
+            self._invariants.check(
+                InvariantName.RESIDENCY,
+                not route.regions or load.region in route.regions,
+                "a request leaves its home regions",
+            )
 
         return await self._link.send(load, call.req, left_s, before_write=check)
 
@@ -426,6 +441,11 @@
     def _refuse(self, call: _Call, exc: Refused) -> CallerAnswer:
         if call.unknown:
             return self._fail(call, 504 if exc.code == "no_time" else 502, str(exc))
+        self._invariants.check(
+            InvariantName.NOT_RUN,
+            call.runs == 0,
+            "a request that may have run is refused as not run",
+        )
         retry_after_s = max(0.05, exc.retry_after_s)
         self._finish(call, exc.code, 503, reason=str(exc), retry_after_s=retry_after_s)
         return refusal(503, f"not run: {exc}"[:200], retry_after_s=retry_after_s)
--- a/tests/entry_support.py
+++ b/tests/entry_support.py
@@ -12,6 +12,7 @@
     ServiceRule,
     WeightedService,
 )
+from crocusward.invariants import Invariants
 from crocusward.logs import EventSampler
 from crocusward.placing import Groups, LoadBook, Placer, RetryAllowance, WorkTimes
 from crocusward.relay import BackendLink, Listener, PlaceFinder, Relay
@@ -90,6 +91,7 @@
         self.pool = HttpPool(self.timer, connections=8, connect_timeout_s=0.3)
         placer = Placer(self.directory, self.book, times, "east", random.Random(1))
         sampler = EventSampler(self.timer.now, 0)
+        self.invariants = Invariants()
         self.places = PlaceFinder(
             self.timer,
             self.directory,
@@ -109,6 +111,7 @@
             BackendLink(self.pool),
             self.announcer,
             sampler,
+            self.invariants,
             100,
         )
         self.relay.limits = self.directory.state.limits
@@ -123,6 +126,7 @@
     async def __aexit__(self, *exc_info):
         self.listener.close()
         self.pool.close()
+        assert not self.invariants.violations, self.invariants.kept
         await asyncio.sleep(0)
 
     async def client(self):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import unittest
+from unittest import mock
+
+from crocusward.relay import Relay
 
 from .entry_support import RelayOnLoopback, backend, desired, reply, route
 from .scripted_server import ScriptedServer
@@ -269,3 +272,24 @@
                 client = await relay.client()
                 self.assertEqual((await client.ask("GET", "/home/")).status, 503)
             self.assertEqual(server.requests, [])
+
+
+class InvariantTest(RelayTestCase):
+    async def test_planted_repeat_is_recorded(self):
+        """Guards against a check inside the program that cannot fail."""
+        async with (
+            ScriptedServer(["close"]) as one,
+            ScriptedServer(["close"]) as two,
+        ):
+            async with self.relay(one, two) as relay:
+                judge = Relay._judge
+
+                def forget_first(self, call, result, others_run):
+                    answer = judge(self, call, result, others_run)
+                    return None if call.runs == 1 else answer
+
+                with mock.patch.object(Relay, "_judge", forget_first):
+                    client = await relay.client()
+                    await client.ask("POST", "/order/a", body=b"x")
+                self.assertEqual(sum(relay.invariants.violations.values()), 1)
+                relay.invariants.violations.clear()
