--- /dev/null
+++ b/tests/test_entryd.py
@@ -0,0 +1,170 @@
+"""Start of the entry daemon and the copies that it keeps of the store."""
+
+import asyncio
+import contextlib
+import io
+import os
+import random
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from crocusward.desired import RowChange, TablePage
+from crocusward.entryd import main
+from crocusward.entryd._reader import (
+    LAPSE_HOLD_S,
+    TableFollower,
+    decode_page,
+    encode_page,
+)
+from crocusward.errors import StoreUnavailableError
+from crocusward.platform import HistoryLostError
+from crocusward.timing import LoopTimer
+
+
+class StartTest(unittest.TestCase):
+    def start(self, environ):
+        errors = io.StringIO()
+        with (
+            mock.patch.dict(os.environ, environ, clear=True),
+            contextlib.redirect_stderr(errors),
+        ):
+            return main(), errors.getvalue()
+
+    def test_missing_settings_end_the_start(self):
+        """Guards against a daemon that runs without settings."""
+        self.assertEqual(self.start({})[0], 2)
+        status, text = self.start({"CROCUSWARD_BOOT": "/nowhere/settings"})
+        self.assertEqual(status, 2)
+        self.assertIn("/nowhere/settings", text)
+
+    def test_bad_settings_are_reported_with_all_findings(self):
+        """Guards against a traceback, or one finding at a time."""
+        with tempfile.TemporaryDirectory() as name:
+            path = Path(name) / "settings"
+            path.write_text('{"node": "h1", "ip": 5}', encoding="utf-8")
+            status, text = self.start({"CROCUSWARD_BOOT": str(path)})
+        self.assertEqual(status, 2)
+        for place in ("ip", "zone", "listen.front", "platform.address"):
+            self.assertIn(place, text)
+        self.assertNotIn("Traceback", text)
+
+
+class ScriptedStore:
+    """Answers reads from a script; the last entry is repeated."""
+
+    def __init__(self, *script):
+        self.script = list(script)
+        self.calls = []
+
+    async def _next(self, call):
+        self.calls.append(call)
+        step = self.script.pop(0) if len(self.script) > 1 else self.script[0]
+        await asyncio.sleep(0)
+        if isinstance(step, Exception):
+            raise step
+        return step
+
+    async def read_table(self, table, timeout_s):
+        return await self._next("read")
+
+    async def wait_for_changes(self, table, after, wait_s, timeout_s):
+        return await self._next(f"changes after {after}")
+
+
+def page(version, *rows, complete=False):
+    changes = [RowChange(key, value, ver) for key, value, ver in rows]
+    return TablePage(version, changes, complete=complete)
+
+
+FIRST = page(5, ("a", b"1", 3), ("b", b"2", 5), complete=True)
+
+
+class FollowerTest(unittest.IsolatedAsyncioTestCase):
+    def follower(self, store, is_reader=True):
+        self.changes = []
+        timer = LoopTimer(asyncio.get_running_loop(), random.Random(1))
+        return TableFollower(
+            "t",
+            timer,
+            random.Random(1),
+            store,
+            lambda: is_reader,
+            lambda table, change: self.changes.append((change.key, change.value)),
+            lambda: None,
+        )
+
+    async def steps(self, follower, count):
+        for _ in range(count):
+            try:
+                await follower._step()
+            except (StoreUnavailableError, HistoryLostError) as exc:
+                await follower._pause(exc)
+
+    async def test_reads_all_and_follows(self):
+        """Guards against changes that are missed or read twice."""
+        store = ScriptedStore(FIRST, page(7, ("a", None, 7)), page(7))
+        follower = self.follower(store)
+        await self.steps(follower, 3)
+        self.assertEqual(store.calls, ["read", "changes after 5", "changes after 7"])
+        self.assertEqual(self.changes, [("a", b"1"), ("b", b"2"), ("a", None)])
+
+    async def test_lost_history_is_read_anew(self):
+        """Guards against servers that stay listed after lost history."""
+        again = page(9, ("b", b"2", 5), complete=True)
+        store = ScriptedStore(FIRST, HistoryLostError("gone"), again)
+        follower = self.follower(store)
+        await self.steps(follower, 2)
+        self.assertEqual(self.changes[-1], ("a", None))
+
+    async def test_stale_read_changes_nothing(self):
+        """Guards against a read that is older than what is known."""
+        stale = page(3, ("a", b"0", 2), complete=True)
+        store = ScriptedStore(FIRST, HistoryLostError("gone"), stale)
+        follower = self.follower(store)
+        await self.steps(follower, 2)
+        self.assertEqual(len(self.changes), 2)
+        self.assertEqual(follower.copy.version, 5)
+
+    async def test_removals_after_an_outage_wait(self):
+        """Guards against dropping servers whose entries lapsed in an outage."""
+        down = StoreUnavailableError("down")
+        store = ScriptedStore(FIRST, down, page(8, ("a", None, 8)))
+        follower = self.follower(store)
+        await self.steps(follower, 2)
+        follower._failed_since_s -= 2.0  # as if the outage had lasted
+        await self.steps(follower, 1)
+        self.assertNotIn(("a", None), self.changes)
+        left_s = follower.copy.hold_left_s(asyncio.get_running_loop().time())
+        self.assertAlmostEqual(left_s, LAPSE_HOLD_S, delta=0.2)
+
+    async def test_one_failed_call_is_no_outage(self):
+        """Guards against work for leaving servers after one lost answer."""
+        down = StoreUnavailableError("down")
+        store = ScriptedStore(FIRST, down, page(8, ("a", None, 8)))
+        follower = self.follower(store)
+        await self.steps(follower, 3)
+        self.assertIn(("a", None), self.changes)
+
+    async def test_host_that_does_not_read_makes_no_call(self):
+        """Guards against every host calling the store."""
+        store = ScriptedStore(FIRST)
+        follower = self.follower(store, is_reader=False)
+        follower.take_page(FIRST)
+        await self.steps(follower, 2)
+        self.assertEqual(store.calls, [])
+
+
+class PageTest(unittest.TestCase):
+    def test_round_trip(self):
+        """Guards against rows that change between neighbours."""
+        found, hold_s = decode_page(encode_page(page(7, ("a", None, 7)), 1.5))
+        self.assertEqual(found, page(7, ("a", None, 7)))
+        self.assertEqual(hold_s, 1.5)
+
+    def test_malformed_page_is_rejected(self):
+        """Guards against bytes of another program on the port."""
+        for data in (b"", b"\xff", b"\x83\x01\x02\x03"):
+            with self.subTest(data), self.assertRaises(ValueError):
+                decode_page(data)
