--- a/src/crocusward/entryd/_exposition.py
+++ b/src/crocusward/entryd/_exposition.py
@@ -40,14 +40,14 @@
 
 def _requests(lines: list[str], process: "EntryProcess") -> None:
     lines.append(f"# TYPE {PREFIX}requests_total counter")
-    for (route, outcome), count in process.relay.outcomes.items():
+    for (route, outcome), count in process.request_log.outcomes.items():
         labels = f'route="{route}",outcome="{outcome}"'
         lines.append(f"{PREFIX}requests_total{{{labels}}} {count}")
 
 
 def _latencies(lines: list[str], process: "EntryProcess") -> None:
     lines.append(f"# TYPE {PREFIX}latency_seconds summary")
-    for route, recorder in process.relay.latencies.items():
+    for route, recorder in process.request_log.latencies.items():
         for share, value_s in zip(
             QUANTILES, recorder.quantiles_s(QUANTILES), strict=True
         ):
--- a/src/crocusward/entryd/_hub.py
+++ b/src/crocusward/entryd/_hub.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 from ..desired import HostFacts
-from ..logs import EventSampler, Level, log_event
+from ..logs import EventSampler, log_event
 from ..neighbours import (
     Hello,
     HostReport,
@@ -24,15 +24,11 @@
 from ..platform import ListedDaemon
 from ..relay import KeptPlace
 from ..timing import Subscription, TimerService
+from ._asks import PlaceAsks
 
 REPORT_PERIOD_S = 0.25  # three missed ones are silence
 REPORTS_PER_S = 120.0  # that one host sends; a large data centre reports less often
 MAX_REPORT_PERIOD_S = 0.45
-ASK_FIRST_S = 0.1  # until the time of an answer is known
-ASK_MARGIN_S = 0.02  # for a busy host
-ASK_FACTOR = 1.5  # times the usual time of an answer
-ASK_PAUSE_S = 2.0  # for which a host that did not answer is not asked
-ASK_GAIN = 0.1
 NEAR_DIGEST_S = 0.2  # period of digests to other groups of the data centre
 DIGEST_S = 0.5  # the same to those of the region, billed by volume
 UPSTREAM_HOSTS = 2  # of each group hear of the reader, so that one may be lost
@@ -66,6 +62,7 @@
         "leaving",
         "waiting",
         "_facts",
+        "_asks",
         "_groups",
         "_upstream",
         "_is_reader",
@@ -80,14 +77,7 @@
         "_store_age_s",
         "_on_room",
         "_on_report",
-        "_offer",
-        "_end_offer",
         "_on_forgotten",
-        "_asked",
-        "_answering",
-        "_ask_s",
-        "_unasked_until_s",
-        "_token",
         "_hosts",
         "_seq",
         "_dirty",
@@ -119,6 +109,7 @@
         on_forgotten: Callable[[str], None],
     ) -> None:
         self.leaving = False
+        self._endpoint = NeighbourEndpoint(self._on_message, sampler)
         self._facts = facts
         self._groups = book.groups
         self._upstream = upstream
@@ -129,19 +120,12 @@
         self._timer = timer
         self._book = book
         self._peers = peers
-        self._endpoint = NeighbourEndpoint(self._on_message, sampler)
         self._versions = versions
         self._store_age_s = store_age_s
         self._on_room = on_room
         self._on_report = on_report
-        self._offer = offer
-        self._end_offer = end_offer
+        self._asks = PlaceAsks(timer, rng, sampler, self._endpoint, offer, end_offer)
         self._on_forgotten = on_forgotten
-        self._answering: set[asyncio.Task[None]] = set()
-        self._asked: dict[int, asyncio.Future[str]] = {}
-        self._ask_s: dict[str, float] = {}
-        self._unasked_until_s: dict[str, float] = {}
-        self._token = 0
         self._hosts: dict[str, KnownHost] = {
             facts.name: KnownHost(facts.name, facts.address, facts.data_centre)
         }
@@ -249,18 +233,8 @@
         elif isinstance(message, LoadDigest):
             self._book.take_idle(message.data_centre, message.idle)
             self._digests[message.data_centre] = message
-        elif isinstance(message, PlaceAsk):
-            task = asyncio.get_running_loop().create_task(
-                self._answer_ask(message, sender)
-            )
-            self._answering.add(task)
-            task.add_done_callback(self._answering.discard)
-        elif isinstance(message, PlaceDone):
-            self._end_offer((sender, message.token))
-        elif isinstance(message, PlaceOffer):
-            fut = self._asked.get(message.token)
-            if fut is not None and not fut.done():
-                fut.set_result(message.backend)
+        elif isinstance(message, PlaceAsk | PlaceDone | PlaceOffer):
+            self._asks.take(message, sender)
         else:
             for host in message.hosts:
                 if host.host not in self._hosts:
@@ -333,74 +307,22 @@
         for hosts in others.values():
             self._endpoint.send(digest, [self._rng.choice(hosts).address])
 
-    # Places in other data centres.
+    # Places in other groups.
 
     async def ask(
         self, place: PlaceRequest, group: str, shared: bool, wait_s: float
     ) -> KeptPlace | None:
-        """Ask a host of another data centre for a place at a server there.
-
-        Returns:
-            The place, or None if no answer came in time.
-        """
-        now_s = self._timer.now()
+        """Ask a host of another group for a place at a server there."""
         hosts = [
             host
             for host in self._hosts.values()
             if self._groups.of_host(host.host) == group
-            and self._unasked_until_s.get(host.host, -1.0) < now_s
         ]
-        if not hosts:
-            return None
-        host = self._rng.choice(hosts)
-        self._token += 1
-        token = self._token
-        fut: asyncio.Future[str] = asyncio.get_running_loop().create_future()
-        self._asked[token] = fut
-        ask = PlaceAsk(
-            token, place.service, place.route.name, place.work_s, shared, wait_s
-        )
-        self._endpoint.send(ask, [host.address])
-        usual_s = self._ask_s.get(group, ASK_FIRST_S)
-        try:
-            async with asyncio.timeout(wait_s + ASK_FACTOR * usual_s + ASK_MARGIN_S):
-                found = await fut
-        except TimeoutError:
-            self._unasked_until_s[host.host] = now_s + ASK_PAUSE_S
-            self._sampler.log(
-                "place_ask_unanswered", id=place.id, host=host.host, usual_s=usual_s
-            )
-            return None
-        finally:
-            del self._asked[token]
-        took_s = self._timer.now() - now_s
-        if wait_s > 0.0:
-            took_s = min(took_s, usual_s)  # the wait there is no part of the way
-        self._ask_s[group] = usual_s + ASK_GAIN * (took_s - usual_s)
-        self._sampler.log(
-            "place_asked",
-            Level.INFO,
-            id=place.id,
-            host=host.host,
-            backend=found,
-            took_s=took_s,
-        )
-        return KeptPlace(found, host.address, token)
+        return await self._asks.ask(place, group, hosts, shared, wait_s)
 
     def release(self, kept: KeptPlace) -> None:
-        """Give a place of another data centre back."""
-        self._endpoint.send(PlaceDone(kept.token), [kept.address])
-
-    async def _answer_ask(self, ask: PlaceAsk, sender: str) -> None:
-        found = await self._offer(
-            (sender, ask.token),
-            ask.service,
-            ask.route,
-            ask.work_s,
-            ask.shared,
-            ask.wait_s,
-        )
-        self._endpoint.send(PlaceOffer(ask.token, found), [sender])
+        """Give a place of another group back."""
+        self._asks.release(kept)
 
     # Reports.
 
--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -36,6 +36,7 @@
     PaceProber,
     PlaceFinder,
     Relay,
+    RequestLog,
     refusal,
 )
 from ..timing import LoopTimer
@@ -174,6 +175,7 @@
             self.sampler,
             PaceProber(self.timer, self.directory, times, link),
         )
+        self.request_log = RequestLog(self.timer.now, self.directory, self.sampler)
         self.relay = Relay(
             self.timer,
             self.directory,
@@ -184,7 +186,7 @@
             self.retries,
             link,
             self.hub,
-            self.sampler,
+            self.request_log,
             self.invariants,
             facts.limits.memory_mb,
         )
--- a/src/crocusward/placing/__init__.py
+++ b/src/crocusward/placing/__init__.py
@@ -4,9 +4,10 @@
 """
 
 from ._book import LoadBook
+from ._choice import Choice, PlaceRequest, Refused, Verdict
 from ._groups import Groups, data_centre_of
 from ._load import BackendLoad
-from ._placer import Choice, Placer, PlaceRequest, Refused, Verdict
+from ._placer import Placer
 from ._queue import QueuedRequest, RequestQueue
 from ._retries import RetryAllowance
 from ._split import WeightedSplit
--- a/src/crocusward/placing/_placer.py
+++ b/src/crocusward/placing/_placer.py
@@ -1,13 +1,11 @@
 """Chooses a backend server, or says that a request should wait or be refused."""
 
 import random
-from collections.abc import Callable, Collection, Sequence
-from enum import Enum
+from collections.abc import Collection, Sequence
 
 from ..desired import Directory, RouteRule, ServiceRule
-from ..errors import CrocusError
-from ..model import Record
 from ._book import LoadBook
+from ._choice import Choice, PlaceRequest, Refused, Verdict
 from ._groups import data_centre_of
 from ._load import BackendLoad
 from ._work import WorkTimes
@@ -39,130 +37,6 @@
 FOREIGN_COLD_PERIOD_S = 2.0  # between requests of another data centre to a cold server
 
 
-class Refused(CrocusError):
-    """A request cannot be served in time; it has not run.
-
-    Attributes:
-        retry_after_s: When the caller should come back.
-    """
-
-    code = "refused"
-
-    def __init__(self, message: str, retry_after_s: float, *, code: str) -> None:
-        super().__init__(message, code=code)
-        self.retry_after_s = retry_after_s
-
-
-class Verdict(Enum):
-    """What to do with a request now."""
-
-    PLACE = "place"
-    WAIT = "wait"
-
-
-class PlaceRequest(Record):
-    """What a request needs.
-
-    Attributes:
-        id: Id of the request, for logs.
-        route: Its route.
-        service: The service chosen by the route's weights.
-        objective_s: Monotonic time by which an answer has its full worth.
-        deadline_s: Monotonic time after which an answer is useless.
-        work_s: Usual time of such a request.
-        excluded: Backend servers that were tried.
-    """
-
-    __slots__ = (
-        "id",
-        "route",
-        "service",
-        "objective_s",
-        "deadline_s",
-        "work_s",
-        "excluded",
-    )
-
-    def __init__(
-        self,
-        id: str,
-        route: RouteRule,
-        service: str,
-        *,
-        objective_s: float,
-        deadline_s: float,
-        work_s: float,
-        excluded: Collection[str] = (),
-    ) -> None:
-        self.id = id
-        self.route = route
-        self.service = service
-        self.objective_s = objective_s
-        self.deadline_s = deadline_s
-        self.work_s = work_s
-        self.excluded = excluded
-
-    def rank(self, now_s: float) -> tuple[bool, int, float]:
-        """Return the place in the order of waiting requests, smallest first."""
-        is_late = now_s + self.work_s > self.objective_s
-        return is_late, self.route.priority, self.deadline_s
-
-
-class Choice(Record):
-    """What the placer decided.
-
-    Attributes:
-        verdict: Whether to send now.
-        load: The server, if the verdict is to place.
-        in_flight: Requests known to be there already.
-        expected_s: Expected time until the answer.
-        wait_s: Expected wait for a free server.
-        free: Servers that could take the request.
-        idle: Share of the usable servers that have no request.
-        patience_s: How long waiting for a server of its own is worth it.
-        near_by: Usable servers of this group.
-        runners_up: Other servers with room here, the best first.
-        release: Gives back a place that another data centre keeps, or None.
-        begun_s: When the request was counted at the server, or None.
-    """
-
-    __slots__ = (
-        "verdict",
-        "load",
-        "in_flight",
-        "expected_s",
-        "wait_s",
-        "free",
-        "idle",
-        "patience_s",
-        "near_by",
-        "runners_up",
-        "release",
-        "begun_s",
-    )
-
-    def __init__(
-        self, verdict: Verdict, load: BackendLoad | None, *, wait_s: float = 0.0
-    ) -> None:
-        self.verdict = verdict
-        self.load = load
-        self.in_flight = 0.0
-        self.expected_s = 0.0
-        self.wait_s = wait_s
-        self.free = 0
-        self.idle = 0.0
-        self.patience_s = 0.0
-        self.near_by = 0
-        self.runners_up: list[BackendLoad] = []
-        self.release: Callable[[], None] | None = None
-        self.begun_s: float | None = None
-
-    def take(self, other: "Choice") -> None:
-        """Take over another choice."""
-        for name in self.__slots__:
-            setattr(self, name, getattr(other, name))
-
-
 class _Candidate:
     """A server with room, and what a request may expect there."""
 
--- a/src/crocusward/relay/__init__.py
+++ b/src/crocusward/relay/__init__.py
@@ -7,6 +7,7 @@
 from ._pipeline import Relay
 from ._places import FULL, KeptPlace, PlaceFinder
 from ._probing import PaceProber
+from ._requests import RequestLog
 
 __all__ = [
     "FULL",
@@ -21,5 +22,6 @@
     "PaceProber",
     "PlaceFinder",
     "Relay",
+    "RequestLog",
     "refusal",
 ]
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -5,8 +5,6 @@
 from ..desired import CallerLimits, Directory, RouteRule
 from ..errors import NotSentError
 from ..invariants import InvariantName, Invariants
-from ..logs import EventSampler, Level
-from ..metrics import LatencyRecorder
 from ..neighbours import Sighting, SightingKind
 from ..placing import (
     BackendLoad,
@@ -24,6 +22,7 @@
 from ._exchange import BackendLink, Exchange, ExchangeEnd
 from ._messages import CallerAnswer, CallerRequest, refusal
 from ._places import MIN_SEND_S, Announcer, PlaceFinder
+from ._requests import Call, RequestLog
 
 START_RETRY_S = 0.5  # a daemon without a desired state normally has one by then
 # Times the expected time after which an idempotent request is sent a second time.
@@ -40,31 +39,6 @@
 MB = 1 << 20
 
 
-class _Call:
-    """State of one request under way."""
-
-    __slots__ = (
-        "req",
-        "place",
-        "tried",
-        "runs",
-        "unknown",
-        "last",
-        "began_s",
-        "waited_s",
-    )
-
-    def __init__(self, req: CallerRequest, place: PlaceRequest, began_s: float) -> None:
-        self.req = req
-        self.place = place
-        self.tried: set[str] = set()
-        self.runs = 0
-        self.unknown = False
-        self.last: CallerAnswer | None = None
-        self.began_s = began_s
-        self.waited_s = 0.0
-
-
 class Relay:
     """Answers the requests of callers.
 
@@ -78,15 +52,13 @@
         retries: This host's share of the fleet's repeats.
         link: Sends to servers.
         announcer: Tells neighbours.
-        sampler: Logs decisions.
+        log: Logs and counts what becomes of requests.
         invariants: Receives the checks of the promises.
         memory_mb: Memory of the host.
     """
 
     __slots__ = (
         "limits",
-        "latencies",
-        "outcomes",
         "_timer",
         "_directory",
         "_book",
@@ -95,7 +67,7 @@
         "_retries",
         "_link",
         "_announcer",
-        "_sampler",
+        "_log",
         "_invariants",
         "_places",
         "_split",
@@ -115,13 +87,11 @@
         retries: RetryAllowance,
         link: BackendLink,
         announcer: Announcer,
-        sampler: EventSampler,
+        log: RequestLog,
         invariants: Invariants,
         memory_mb: int,
     ) -> None:
         self.limits: CallerLimits = DEFAULT_LIMITS
-        self.latencies: dict[str, LatencyRecorder] = {}
-        self.outcomes: dict[tuple[str, str], int] = {}
         self._timer = timer
         self._directory = directory
         self._book = book
@@ -130,7 +100,7 @@
         self._retries = retries
         self._link = link
         self._announcer = announcer
-        self._sampler = sampler
+        self._log = log
         self._invariants = invariants
         self._places = places
         self._split = WeightedSplit()
@@ -162,23 +132,23 @@
         began_s = self._timer.now()
         state = self._directory.state
         if state is None or not self._directory.is_usable():
-            return self._own(req, "", "not_ready", 503, START_RETRY_S)
+            return self._log.refuse_early(req, "", "not_ready", 503, START_RETRY_S)
         route = state.find_route(req.host, req.path)
         if route is None:
-            return self._own(req, "", "no_route", 404, None)
+            return self._log.refuse_early(req, "", "no_route", 404, None)
         if not req.id:
-            return self._own(req, route.name, "no_id", 400, None)
+            return self._log.refuse_early(req, route.name, "no_id", 400, None)
         call = self._begin(req, route, began_s)
         try:
             answer = await self._serve(call)
         except asyncio.CancelledError:
-            self._finish(call, "caller_left", 0)
+            self._log.finish(call, "caller_left", 0)
             raise
         except Refused as exc:
             answer = self._refuse(call, exc)
         return answer
 
-    def _begin(self, req: CallerRequest, route: RouteRule, began_s: float) -> _Call:
+    def _begin(self, req: CallerRequest, route: RouteRule, began_s: float) -> Call:
         service = self._split.pick(route)
         self._retries.count_request(service, began_s)
         limit_s = route.timeout_s
@@ -192,13 +162,13 @@
             deadline_s=req.received_s + limit_s,
             work_s=self._times.work_s(service, route.name, route.objective_s),
         )
-        call = _Call(req, place, began_s)
+        call = Call(req, place, began_s)
         place.excluded = call.tried
         return call
 
     # Attempts.
 
-    async def _serve(self, call: _Call) -> CallerAnswer:
+    async def _serve(self, call: Call) -> CallerAnswer:
         running: dict[asyncio.Task[Exchange], Choice] = {}
         try:
             while True:
@@ -217,7 +187,7 @@
             self._release_losers(running)
 
     async def _wait(
-        self, call: _Call, running: dict[asyncio.Task[Exchange], Choice]
+        self, call: Call, running: dict[asyncio.Task[Exchange], Choice]
     ) -> "set[asyncio.Task[Exchange]]":
         """Wait for an end; send a second copy if the first is late."""
         now_s = self._now()
@@ -244,7 +214,7 @@
         return done
 
     def _hedge_delay_s(
-        self, call: _Call, running: dict[asyncio.Task[Exchange], Choice]
+        self, call: Call, running: dict[asyncio.Task[Exchange], Choice]
     ) -> float | None:
         route = call.place.route
         if not route.idempotent or len(running) > 1 or call.runs >= route.max_attempts:
@@ -255,7 +225,7 @@
         late_s = HEDGE_FACTOR * choice.expected_s
         return max(HEDGE_MIN_S, min(late_s, max(in_time_s, choice.expected_s)))
 
-    def _hedge(self, call: _Call) -> Choice | None:
+    def _hedge(self, call: Call) -> Choice | None:
         now_s = self._now()
         service = call.place.service
         if (
@@ -279,7 +249,7 @@
             return None
         return choice
 
-    async def _place(self, call: _Call) -> Choice:
+    async def _place(self, call: Call) -> Choice:
         began_s = self._now()
         try:
             return await self._places.find(call.place)
@@ -290,7 +260,7 @@
         """Place waiting requests of a service while there is room."""
         self._places.room_changed(service)
 
-    def _launch(self, call: _Call, choice: Choice) -> "asyncio.Task[Exchange]":
+    def _launch(self, call: Call, choice: Choice) -> "asyncio.Task[Exchange]":
         load = choice.load
         assert load is not None
         now_s = self._now()
@@ -305,20 +275,13 @@
         call.tried.add(load.entry.id)
         call.runs += 1
         self._announcer.announce(load, None)
-        self._sampler.log(
-            "request_placed",
-            id=call.place.id,
-            backend=load.entry.id,
-            in_flight=choice.in_flight,
-            expected_s=choice.expected_s,
-            attempt=call.runs,
-        )
+        self._log.placed(call, choice)
         task = asyncio.get_running_loop().create_task(self._exchange(call, load))
         # Not in the task itself, which may be cancelled before its first step.
         task.add_done_callback(lambda done: self._on_exchange_end(call, choice, done))
         return task
 
-    async def _exchange(self, call: _Call, load: BackendLoad) -> Exchange:
+    async def _exchange(self, call: Call, load: BackendLoad) -> Exchange:
         route = call.place.route
         left_s = call.place.deadline_s - self._now()
 
@@ -334,7 +297,7 @@
         return await self._link.send(load, call.req, left_s, before_write=check)
 
     def _on_exchange_end(
-        self, call: _Call, choice: Choice, task: "asyncio.Task[Exchange]"
+        self, call: Call, choice: Choice, task: "asyncio.Task[Exchange]"
     ) -> None:
         load = choice.load
         begun_s = choice.begun_s
@@ -353,7 +316,7 @@
         self.room_changed(call.place.service)
 
     def _learn(
-        self, call: _Call, choice: Choice, result: Exchange, begun_s: float
+        self, call: Call, choice: Choice, result: Exchange, begun_s: float
     ) -> None:
         seen = result.seen
         load = choice.load
@@ -381,15 +344,17 @@
         load.observe_time(ratio, now_s)
 
     def _judge(
-        self, call: _Call, result: Exchange, others_run: bool
+        self, call: Call, result: Exchange, others_run: bool
     ) -> CallerAnswer | None:
         """Return the answer to the caller, or None to go on."""
         route = call.place.route
         if result.end is ExchangeEnd.NOT_RUN:
             call.runs -= 1
-            self._log_attempt(call, result)
+            self._log.attempt(call, result)
             if result.reason == "invalid_request":
-                return self._own(call.req, route.name, "bad_header", 400, None)
+                return self._log.refuse_early(
+                    call.req, route.name, "bad_header", 400, None
+                )
             if others_run:
                 return None
             if self._may_repeat(call, result):
@@ -401,12 +366,12 @@
             result.is_good or not route.idempotent
         ):
             assert result.answer is not None
-            self._finish(call, "answered", result.answer.status, result.seen)
+            self._log.finish(call, "answered", result.answer.status, result.seen)
             return result.answer
         # The request may have run.
         call.unknown = True
         call.last = result.answer or call.last
-        self._log_attempt(call, result)
+        self._log.attempt(call, result)
         if others_run:
             return None
         if (
@@ -418,7 +383,7 @@
             return None
         return self._fail(call, 502, result.reason)
 
-    def _may_repeat(self, call: _Call, result: Exchange) -> bool:
+    def _may_repeat(self, call: Call, result: Exchange) -> bool:
         now_s = self._now()
         if now_s + MIN_SEND_S >= call.place.deadline_s:
             return False
@@ -426,19 +391,19 @@
             return True  # nothing arrived at a server
         return self._retries.take(call.place.service, now_s)
 
-    def _give_up(self, call: _Call) -> CallerAnswer:
+    def _give_up(self, call: Call) -> CallerAnswer:
         """Answer at the end of the time; an attempt is still running."""
         call.unknown = True
         return self._fail(call, 504, "time is over")
 
-    def _fail(self, call: _Call, status: int, reason: str) -> CallerAnswer:
+    def _fail(self, call: Call, status: int, reason: str) -> CallerAnswer:
         if call.last is not None:
-            self._finish(call, "backend_error", call.last.status)
+            self._log.finish(call, "backend_error", call.last.status)
             return call.last
-        self._finish(call, reason, status)
+        self._log.finish(call, reason, status)
         return refusal(status, f"the request may have run: {reason}"[:200])
 
-    def _refuse(self, call: _Call, exc: Refused) -> CallerAnswer:
+    def _refuse(self, call: Call, exc: Refused) -> CallerAnswer:
         if call.unknown:
             return self._fail(call, 504 if exc.code == "no_time" else 502, str(exc))
         self._invariants.check(
@@ -447,7 +412,9 @@
             "a request that may have run is refused as not run",
         )
         retry_after_s = max(0.05, exc.retry_after_s)
-        self._finish(call, exc.code, 503, reason=str(exc), retry_after_s=retry_after_s)
+        self._log.finish(
+            call, exc.code, 503, reason=str(exc), retry_after_s=retry_after_s
+        )
         return refusal(503, f"not run: {exc}"[:200], retry_after_s=retry_after_s)
 
     def _release_losers(self, running: "dict[asyncio.Task[Exchange], Choice]") -> None:
@@ -462,85 +429,9 @@
             self._losers.add(loser)
             loser.add_done_callback(self._losers.discard)
 
-    # Logs and counts.
-
     def _now(self) -> float:
         return self._timer.now()
 
-    def _own(
-        self,
-        req: CallerRequest,
-        route: str,
-        outcome: str,
-        status: int,
-        retry_after_s: float | None,
-    ) -> CallerAnswer:
-        self._count(route, outcome)
-        self._sampler.log(
-            "request_refused",
-            id=req.id.decode("latin-1"),
-            route=route,
-            reason=outcome,
-            status=status,
-        )
-        return refusal(status, outcome, retry_after_s=retry_after_s)
-
-    def _count(self, route: str, outcome: str) -> None:
-        key = (route, outcome)
-        self.outcomes[key] = self.outcomes.get(key, 0) + 1
-
-    def _log_attempt(self, call: _Call, result: Exchange) -> None:
-        self._sampler.log(
-            "attempt_failed",
-            id=call.place.id,
-            backend=result.seen.backend,
-            end=result.end.value,
-            reason=result.reason,
-            attempt=call.runs,
-            age_s=self._now() - call.began_s,
-        )
-
-    def _finish(
-        self,
-        call: _Call,
-        outcome: str,
-        status: int,
-        seen: Sighting | None = None,
-        *,
-        reason: str = "",
-        retry_after_s: float | None = None,
-    ) -> None:
-        now_s = self._now()
-        route = call.place.route
-        took_s = now_s - call.req.received_s
-        is_answer = outcome == "answered"
-        self._count(route.name, outcome)
-        if is_answer:
-            self.latencies.setdefault(route.name, LatencyRecorder()).record(took_s)
-        fields: dict[str, object] = {
-            "id": call.place.id,
-            "route": route.name,
-            "service": call.place.service,
-            "outcome": outcome,
-            "status": status,
-            "took_s": took_s,
-            "waited_s": call.waited_s,
-            "objective_s": route.objective_s,
-            "attempts": call.runs,
-            "version": self._directory.state.version if self._directory.state else 0,
-        }
-        if seen is not None:
-            fields["backend"] = seen.backend
-            fields["running"] = seen.running
-            fields["waiting"] = seen.waiting
-            fields["pace"] = seen.pace
-        if reason:
-            fields["reason"] = reason
-        if retry_after_s is not None:
-            fields["retry_after_s"] = retry_after_s
-        name = "request_answered" if is_answer else "request_failed"
-        self._sampler.log(name, Level.INFO, **fields)
-
 
 async def _end_soon(task: "asyncio.Task[Exchange]") -> None:
     """Let the slower copy of a request end, then cancel it."""
--- a/tests/entry_support.py
+++ b/tests/entry_support.py
@@ -15,7 +15,7 @@
 from crocusward.invariants import Invariants
 from crocusward.logs import EventSampler
 from crocusward.placing import Groups, LoadBook, Placer, RetryAllowance, WorkTimes
-from crocusward.relay import BackendLink, Listener, PlaceFinder, Relay
+from crocusward.relay import BackendLink, Listener, PlaceFinder, Relay, RequestLog
 from crocusward.timing import LoopTimer
 from crocusward.upstream import HttpPool
 
@@ -110,7 +110,7 @@
             self.retries,
             BackendLink(self.pool),
             self.announcer,
-            sampler,
+            RequestLog(self.timer.now, self.directory, sampler),
             self.invariants,
             100,
         )
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -24,7 +24,7 @@
         async with ScriptedServer(*server_script) as server:
             entries = [backend("b0", port=server.port)] if server_script else []
             relay = RelayOnLoopback(*entries, state=desired(route(), order), **options)
-            relay.relay._sampler = EventSampler(relay.timer.now, 100)
+            relay.relay._log._sampler = EventSampler(relay.timer.now, 100)
             async with relay:
                 client = await relay.client()
                 body = b"x" if method == "POST" else b""
@@ -81,7 +81,7 @@
             relay = RelayOnLoopback(backend("b0", port=server.port))
             pipe = LogPipe(io.StringIO())
             pipe.buffer = LineBuffer(_Stalled(), max_lines=2)
-            relay.relay._sampler = EventSampler(relay.timer.now, 100)
+            relay.relay._log._sampler = EventSampler(relay.timer.now, 100)
             async with relay:
                 client = await relay.client()
                 with contextlib.suppress(TimeoutError):
