Log an unexpected error of a request

Cause: reading the relay: an unexpected exception ended a request with 502 and no log line. Change: it is logged with the request, and promises nothing. Measured: tests pass, one of which plants the error.

--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -146,6 +146,9 @@
             raise
         except Refused as exc:
             answer = self._refuse(call, exc)
+        except Exception as exc:
+            self._log.finish(call, "internal_error", 502, reason=repr(exc))
+            answer = refusal(502, "internal error", close=True)
         return answer
 
     def _begin(self, req: CallerRequest, route: RouteRule, began_s: float) -> Call:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -293,3 +293,23 @@
                     await client.ask("POST", "/order/a", body=b"x")
                 self.assertEqual(sum(relay.invariants.violations.values()), 1)
                 relay.invariants.violations.clear()
+
+    async def test_unexpected_error_is_logged_and_promises_nothing(self):
+        """Guards against an error that ends a request without a log line."""
+        async with ScriptedServer([reply("q1")]) as server:
+            async with self.relay(server) as relay:
+                finished = []
+                with (
+                    mock.patch.object(Relay, "_judge", side_effect=KeyError("x")),
+                    mock.patch.object(
+                        type(relay.relay._log),
+                        "finish",
+                        lambda _, call, outcome, *args, **kwargs: finished.append(
+                            outcome
+                        ),
+                    ),
+                ):
+                    client = await relay.client()
+                    found = await client.ask("POST", "/order/a", body=b"x")
+        self.assertEqual(found.status, 502)
+        self.assertEqual(finished, ["internal_error"])
