Start a killed daemon of the soak again once its process has ended

Cause: soak seed 53 on a busy machine: a daemon was killed in its first half second and not started again; its log shows neither a second start nor an error. Change: a start waits for the end of a killed process instead of taking it for running; the seed joins the regression seeds.

--- a/src/crocusward/devtools/fault_soak/_daemons.py
+++ b/src/crocusward/devtools/fault_soak/_daemons.py
@@ -41,6 +41,7 @@
         self._settings = directory / f"{name}.json"
         self._log = directory / f"{name}.log"
         self._is_starting = False
+        self._is_killed = False
         self._process: asyncio.subprocess.Process | None = None
         self._settings.write_text(
             json.dumps(self._document(regions, store_port, seeds)), encoding="utf-8"
@@ -83,9 +84,12 @@
 
     async def start(self) -> None:
         """Start the process unless another fault has started it again already."""
-        if self.is_running or self._is_starting:
+        if self._is_starting or (self.is_running and not self._is_killed):
             return
         self._is_starting = True
+        if self._process is not None and self._is_killed:
+            await self._process.wait()
+        self._is_killed = False
         self._touch()
         self.stopping_s = None
         env = {**os.environ, "CROCUSWARD_BOOT": str(self._settings)}
@@ -111,6 +115,7 @@
 
     def kill(self) -> None:
         """End the process at once."""
+        self._is_killed = True
         self._signal(signal.SIGKILL)
         self.paused = False
 
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -13,6 +13,7 @@
 # Seeds that once failed, with the cause.
 REGRESSION_SEEDS = {
     9: "two faults started the same daemon; the second process found the port taken",
+    53: "the soak did not start a killed daemon again; the log shows no second start",
 }
 
 
