--- a/src/crocusward/desired/_directory.py
+++ b/src/crocusward/desired/_directory.py
@@ -1,6 +1,6 @@
 """The desired state, the data centres out of service and the backend servers."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from ..logs import Level, log_event
 from ._types import BackendEntry, DesiredState
@@ -104,9 +104,3 @@
             self.backends[id] = entry
         for observer in self._observers:
             observer(old, entry)
-
-    def drop_missing(self, present: Iterable[str]) -> None:
-        """Remove all backend servers that are not in ``present``."""
-        keep = set(present)
-        for id in [id for id in self.backends if id not in keep]:
-            self.set_backend(id, None)
