Place requests by the pace of the machine at their start

The pace at the start of a request holds for all of it, while the placer counted at most 0.15 s of it, and probed only once and only over open connections.

Change: the reported pace multiplies the whole expected time and ages towards the usual pace; servers whose present pace would decide a choice are probed, up to three at a time, until the choice is known; a request whose best server is slow just then waits in the queue for a good pace while its objective, or else its deadline, allows; work is learned at the pace of its start; a kept place tells its pace.

The finding of the fault soak names the exit status.

--- a/src/crocusward/devtools/fault_soak/_daemons.py
+++ b/src/crocusward/devtools/fault_soak/_daemons.py
@@ -103,6 +103,11 @@
             )
         self._is_starting = False
 
+    @property
+    def exit_code(self) -> int | None:
+        """Exit status of the last process, negative for a signal; None if it runs."""
+        return self._process.returncode if self._process is not None else None
+
     @property
     def is_running(self) -> bool:
         """Return True while the process runs."""
--- a/src/crocusward/devtools/fault_soak/_world.py
+++ b/src/crocusward/devtools/fault_soak/_world.py
@@ -297,7 +297,9 @@
     async def _check_recovery(self) -> None:
         for daemon in self.daemons:
             if not daemon.is_running:
-                self.findings.append(f"process: {daemon.name} ended by itself")
+                self.findings.append(
+                    f"process: {daemon.name} ended by itself with {daemon.exit_code}"
+                )
                 await daemon.start()
         await self.sleep(CALM_S)
         before = len(self.promises.asked)
--- a/src/crocusward/entryd/_asks.py
+++ b/src/crocusward/entryd/_asks.py
@@ -12,8 +12,8 @@
     PlaceDone,
     PlaceOffer,
 )
-from ..placing import PlaceRequest
-from ..relay import KeptPlace
+from ..placing import Choice, PlaceRequest
+from ..relay import FULL, KeptPlace
 from ..timing import TimerService
 
 ASK_FIRST_S = 0.1  # until the time of an answer is known
@@ -55,7 +55,7 @@
         rng: random.Random,
         sampler: EventSampler,
         endpoint: NeighbourEndpoint,
-        offer: Callable[..., Awaitable[str]],
+        offer: Callable[..., Awaitable[Choice | None]],
         end_offer: Callable[[tuple[str, int]], None],
     ) -> None:
         self._timer = timer
@@ -65,7 +65,7 @@
         self._offer = offer
         self._end_offer = end_offer
         self._answering: set[asyncio.Task[None]] = set()
-        self._asked: dict[int, asyncio.Future[str]] = {}
+        self._asked: dict[int, asyncio.Future[PlaceOffer]] = {}
         self._usual_s: dict[str, float] = {}
         self._paused_until_s: dict[str, float] = {}
         self._token = 0
@@ -106,14 +106,20 @@
             took_s = min(took_s, usual_s)  # the wait there is no part of the way
         self._usual_s[group] = usual_s + ASK_GAIN * (took_s - usual_s)
         self._sampler.log(
-            "place_asked", id=place.id, host=host.host, backend=found, took_s=took_s
+            "place_asked",
+            id=place.id,
+            host=host.host,
+            backend=found.backend,
+            took_s=took_s,
+        )
+        return KeptPlace(
+            found.backend, host.address, token, found.pace, found.in_flight
         )
-        return KeptPlace(found, host.address, token)
 
     async def _send(
         self, ask: PlaceAsk, host: KnownHost, timeout_s: float
-    ) -> str | None:
-        fut: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+    ) -> PlaceOffer | None:
+        fut: asyncio.Future[PlaceOffer] = asyncio.get_running_loop().create_future()
         self._asked[ask.token] = fut
         self._endpoint.send(ask, [host.address])
         try:
@@ -135,7 +141,7 @@
         elif isinstance(message, PlaceOffer):
             fut = self._asked.get(message.token)
             if fut is not None and not fut.done():
-                fut.set_result(message.backend)
+                fut.set_result(message)
         else:
             task = asyncio.get_running_loop().create_task(self._answer(message, sender))
             self._answering.add(task)
@@ -150,4 +156,9 @@
             ask.shared,
             ask.wait_s,
         )
-        self._endpoint.send(PlaceOffer(ask.token, found), [sender])
+        answer = PlaceOffer(ask.token, FULL)
+        if found is not None and found.load is not None:
+            answer.backend = found.load.entry.id
+            answer.pace = found.pace if found.is_paced else 0.0
+            answer.in_flight = int(found.in_flight)
+        self._endpoint.send(answer, [sender])
--- a/src/crocusward/entryd/_hub.py
+++ b/src/crocusward/entryd/_hub.py
@@ -20,7 +20,7 @@
     PlaceOffer,
     Sighting,
 )
-from ..placing import BackendLoad, LoadBook, PlaceRequest
+from ..placing import BackendLoad, Choice, LoadBook, PlaceRequest
 from ..platform import ListedDaemon
 from ..relay import KeptPlace
 from ..timing import Subscription, TimerService
@@ -104,7 +104,7 @@
         is_reader: Callable[[], bool],
         on_room: Callable[[str], None],
         on_report: Callable[[], None],
-        offer: Callable[..., Awaitable[str]],
+        offer: Callable[..., Awaitable[Choice | None]],
         end_offer: Callable[[tuple[str, int]], None],
         on_forgotten: Callable[[str], None],
     ) -> None:
--- a/src/crocusward/neighbours/_codec.py
+++ b/src/crocusward/neighbours/_codec.py
@@ -61,7 +61,9 @@
     if isinstance(message, LoadDigest):
         return cbor2.dumps([DIGEST, message.data_centre, message.idle])
     if isinstance(message, PlaceOffer):
-        return cbor2.dumps([OFFER, message.token, message.backend])
+        return cbor2.dumps(
+            [OFFER, message.token, message.backend, message.pace, message.in_flight]
+        )
     hosts = [[item.host, item.address, item.data_centre] for item in message.hosts]
     return cbor2.dumps([INTRODUCTION, hosts])
 
@@ -117,9 +119,9 @@
         if kind == DIGEST:
             return _decode_digest(fields[1:])
         if kind == OFFER:
-            _, token, backend = fields
+            _, token, backend, pace, in_flight = fields
             _texts([backend, "", ""])
-            return PlaceOffer(int(token), backend)
+            return PlaceOffer(int(token), backend, float(pace), int(in_flight))
         if kind == INTRODUCTION:
             return Introduction([KnownHost(*_texts(item)) for item in fields[1]])
     except (
--- a/src/crocusward/neighbours/_messages.py
+++ b/src/crocusward/neighbours/_messages.py
@@ -197,13 +197,19 @@
     Attributes:
         token: Number of the question.
         backend: Id of the server at which a place is kept, "" if there is none.
+        pace: Pace of its machine; 1.0 is usual, 0.0 unknown.
+        in_flight: Requests at the server besides this one.
     """
 
-    __slots__ = ("token", "backend")
+    __slots__ = ("token", "backend", "pace", "in_flight")
 
-    def __init__(self, token: int, backend: str) -> None:
+    def __init__(
+        self, token: int, backend: str, pace: float = 0.0, in_flight: int = 0
+    ) -> None:
         self.token = token
         self.backend = backend
+        self.pace = pace
+        self.in_flight = in_flight
 
 
 class PlaceDone(Record):
--- a/src/crocusward/placing/_choice.py
+++ b/src/crocusward/placing/_choice.py
@@ -91,7 +91,11 @@
         idle: Share of the usable servers that have no request.
         patience_s: How long waiting for a server of its own is worth it.
         near_by: Usable servers of this group.
-        runners_up: Other servers with room here, the best first.
+        stale: Servers here whose present pace would decide the choice.
+        awaits_pace: Whether it waits for a machine with a good pace.
+        pace: Pace of the chosen machine, as known.
+        pace_age_s: Age of that report.
+        is_paced: Whether it was reported just now, or never is.
         release: Gives back a place that another data centre keeps, or None.
         begun_s: When the request was counted at the server, or None.
     """
@@ -106,7 +110,11 @@
         "idle",
         "patience_s",
         "near_by",
-        "runners_up",
+        "stale",
+        "awaits_pace",
+        "pace",
+        "pace_age_s",
+        "is_paced",
         "release",
         "begun_s",
     )
@@ -123,7 +131,11 @@
         self.idle = 0.0
         self.patience_s = 0.0
         self.near_by = 0
-        self.runners_up: list[BackendLoad] = []
+        self.stale: list[BackendLoad] = []
+        self.awaits_pace = False
+        self.pace = 1.0
+        self.pace_age_s = 0.0
+        self.is_paced = False
         self.release: Callable[[], None] | None = None
         self.begun_s: float | None = None
 
--- a/src/crocusward/placing/_load.py
+++ b/src/crocusward/placing/_load.py
@@ -1,11 +1,13 @@
 """What a host knows of one backend server at this moment."""
 
+import math
 from collections import deque
 
 from ..desired import BackendEntry
 from ..neighbours import Sighting, SightingKind
 
 PACE_MEMORY_S = 0.15  # shared machines change their pace many times a second
+PROBE_PAUSE_S = 0.2  # after a probe without an answer; the server may be full
 OTHERS_MEMORY_S = 0.15  # about the time of one request
 SLOWNESS_GAIN = 0.3  # weight of the newest answer
 SLOWNESS_HALF_LIFE_S = 4.0  # a slow server is tried again within seconds
@@ -37,7 +39,8 @@
         closed_until_s: Until when it gets nothing.
         cold_until_s: Until when it is cold.
         idle_connections: Open unused connections of this host to it.
-        oldest_sent_s: When the oldest request in flight here was sent, or -1.
+        sent_s: When the requests of this host in flight there were sent.
+        probe_missed_s: When a probe of this host last got no answer.
     """
 
     __slots__ = (
@@ -53,6 +56,7 @@
         "cold_until_s",
         "idle_connections",
         "sent_s",
+        "probe_missed_s",
         "_neighbour_sum",
         "_others",
         "_others_s",
@@ -80,10 +84,11 @@
         self.cold_until_s = -1.0
         self.idle_connections = 0
         self.sent_s: list[float] = []
+        self.probe_missed_s = -1e9
         self._neighbour_sum = 0
         self._others = 0.0
         self._others_s = -1e9
-        self._pace = 0.0
+        self._pace = 1.0
         self._pace_s = -1e9
         self._slowness = 1.0
         self._slowness_s = 0.0
@@ -204,17 +209,22 @@
         kept = 0.5 ** ((now_s - self._slowness_s) / SLOWNESS_HALF_LIFE_S)
         return 1.0 + (self._slowness - 1.0) * kept
 
-    def pace_delay_s(self, now_s: float, usual_speed: float) -> float:
-        """Return the time lost because of the last reported pace; negative if gained.
+    def pace_factor(self, now_s: float, usual: float) -> float:
+        """Return how long work that starts now takes relative to a free machine.
+
+        The pace at the start of a request holds for all of it. The last report
+        counts less as it ages.
 
         Args:
             now_s: Monotonic time.
-            usual_speed: Average of work done per time, 1.0 without neighbours.
+            usual: Average of this factor over the servers of the service.
         """
-        left_s = PACE_MEMORY_S - (now_s - self._pace_s)
-        if left_s <= 0.0:
-            return 0.0
-        return left_s * (usual_speed - 1.0 / self._pace)
+        kept = math.exp(-max(0.0, now_s - self._pace_s) / PACE_MEMORY_S)
+        return usual + (self._pace - usual) * kept
+
+    def may_probe(self, now_s: float) -> bool:
+        """Return False for a while after a probe got no answer."""
+        return now_s - self.probe_missed_s > PROBE_PAUSE_S
 
     def pace_age_s(self, now_s: float) -> float:
         """Return the age of the last reported pace."""
--- a/src/crocusward/placing/_placer.py
+++ b/src/crocusward/placing/_placer.py
@@ -7,7 +7,7 @@
 from ._book import LoadBook
 from ._choice import Choice, PlaceRequest, Refused, Verdict
 from ._groups import data_centre_of
-from ._load import BackendLoad
+from ._load import PACE_MEMORY_S, BackendLoad
 from ._work import WorkTimes
 
 # Cost of leaving the data centre or region, in times of the work. Loads there are not
@@ -23,7 +23,11 @@
 # Share of failing servers above which their failures say nothing of a single one, and
 # closing them would only move their load to the rest.
 PANIC_SHARE = 0.4
-RUNNERS_UP = 3  # servers of a choice that are compared by probes
+PROBED_AT_ONCE = 3  # servers that are probed together before a choice
+FRESH_PACE_S = 0.025  # a small part of the time for which a machine keeps its pace
+PROBE_COST_S = 0.005  # by which a server must be able to beat the best one known
+# Part of the expected time that even a short request of its route takes.
+SHORT_WORK = 0.7
 UNTRIED_BONUS_S = 0.02  # new servers get their first request soon
 BLAME_WEIGHT = 3.0  # times the work, for each recent failure
 COLD_FACTOR = 2.0  # work on a cold server takes about twice as long
@@ -38,9 +42,19 @@
 
 
 class _Candidate:
-    """A server with room, and what a request may expect there."""
+    """A server with room, and what a request may expect there.
 
-    __slots__ = ("load", "count", "time_s", "score_s")
+    Attributes:
+        load: The server.
+        count: Requests there.
+        time_s: Expected time of the request.
+        score_s: The time and the cost of the choice for others.
+        best_s: The same if the machine has a good pace now.
+        lost_s: Time that is lost because of the pace, as far as known.
+        is_stale: Whether its pace may have changed since the last report.
+    """
+
+    __slots__ = ("load", "count", "time_s", "score_s", "best_s", "lost_s", "is_stale")
 
     def __init__(
         self, load: BackendLoad, count: float, time_s: float, score_s: float
@@ -49,6 +63,9 @@
         self.count = count
         self.time_s = time_s
         self.score_s = score_s
+        self.best_s = score_s
+        self.lost_s = 0.0
+        self.is_stale = False
 
 
 class _Survey:
@@ -56,6 +73,9 @@
 
     Attributes:
         sharing: How much longer work takes on a server that is shared.
+        pace: Usual pace of the machines.
+        good_pace: Pace that the better machines often have.
+        reports_pace: Whether the servers report the pace of their machines.
         usable: Servers that may run it, also those that are full.
         near_by: Those of them in this group.
         idle: Those of them without a request.
@@ -63,10 +83,23 @@
         candidates: Servers with room, the best first.
     """
 
-    __slots__ = ("sharing", "usable", "near_by", "idle", "rate", "candidates")
-
-    def __init__(self, sharing: float) -> None:
-        self.sharing = sharing
+    __slots__ = (
+        "sharing",
+        "pace",
+        "good_pace",
+        "reports_pace",
+        "usable",
+        "near_by",
+        "idle",
+        "rate",
+        "candidates",
+    )
+
+    def __init__(self, times: WorkTimes, service: str) -> None:
+        self.sharing = times.sharing(service)
+        self.pace = times.usual_pace(service)
+        self.good_pace = times.best_pace(service)
+        self.reports_pace = times.has_pace(service)
         self.usable = 0
         self.near_by = 0
         self.idle = 0
@@ -171,9 +204,7 @@
         avoid: Collection[str],
     ) -> "_Survey":
         """Rate the servers that may run a request."""
-        sharing = self._times.sharing(req.service)
-        speed = self._times.usual_speed(req.service)
-        survey = _Survey(sharing)
+        survey = _Survey(self._times, req.service)
         own = self._book.groups.own
         allowed = self._allowed(self._book.in_group(req.service, own), req)
         if not own_group and not any(load.in_flight(now_s) < 1.0 for load in allowed):
@@ -197,9 +228,7 @@
                 continue
             if not self._bears(load, rule, now_s):
                 continue
-            time_s = self._time_s(load, req, count, sharing, speed, now_s)
-            score_s = time_s + self._extra_s(load, req, count, sharing, now_s)
-            survey.candidates.append(_Candidate(load, count, time_s, score_s))
+            survey.candidates.append(self._rate(load, req, survey, count, now_s))
         if survey.near_by:
             # The link between regions is for requests that cannot run here, and
             # another group is asked only if it has told that servers are idle.
@@ -222,6 +251,7 @@
     ) -> Choice:
         """Choose between the best server and waiting."""
         best = survey.candidates[0] if survey.candidates else None
+        good_s = req.work_s * survey.good_pace
         rate = survey.rate or float(survey.usable)
         wait_s = max(MIN_WAIT_S, req.work_s / rate * (1.0 + ahead))
         choice = Choice(Verdict.WAIT, None, wait_s=wait_s)
@@ -231,8 +261,25 @@
         choice.patience_s = self._patience_s(req, survey.sharing, now_s)
         if best is None:
             self._check_time(req, wait_s, now_s)
-            choice.patience_s = max(MIN_WAIT_S, req.deadline_s - now_s - req.work_s)
+            choice.patience_s = max(MIN_WAIT_S, req.deadline_s - now_s - good_s)
             return choice
+        choice.stale = self._worth_probing(survey, best)
+        is_slow = best.lost_s > req.work_s and (
+            best.load.pace_age_s(now_s) < PACE_MEMORY_S
+        )
+        if is_slow and now_s + best.time_s > req.objective_s:
+            # A machine changes its pace sooner than a slowed request ends.
+            choice.patience_s = self._pace_patience_s(req, good_s, now_s)
+            choice.awaits_pace = choice.patience_s > MIN_WAIT_S
+            if choice.awaits_pace:
+                return choice
+            left_s = req.deadline_s - now_s
+            if SHORT_WORK * best.time_s > left_s:
+                raise Refused(
+                    f"an answer would take {best.time_s:.2f} s of {left_s:.2f} s",
+                    self._spread(RETRY_AFTER_MIN_S),
+                    code="no_time",
+                )
         if best.count >= 1.0:
             if ahead:
                 self._check_time(req, wait_s, now_s)
@@ -245,13 +292,35 @@
         choice.load = best.load
         choice.in_flight = best.count
         choice.expected_s = best.time_s
-        choice.runners_up = [
-            found.load
-            for found in survey.candidates[1:RUNNERS_UP]
-            if found.load.group == self._book.groups.own
-        ]
+        choice.pace_age_s = best.load.pace_age_s(now_s)
+        choice.is_paced = not survey.reports_pace or choice.pace_age_s <= FRESH_PACE_S
+        choice.pace = best.load.pace_factor(now_s, survey.pace)
         return choice
 
+    @staticmethod
+    def _worth_probing(survey: "_Survey", best: _Candidate) -> list[BackendLoad]:
+        """Return the servers whose present pace would decide the choice."""
+        found = [
+            item
+            for item in survey.candidates
+            if item.is_stale
+            and (item is best or item.best_s + PROBE_COST_S < best.score_s)
+        ]
+        found.sort(key=lambda item: item.best_s)
+        return [item.load for item in found[:PROBED_AT_ONCE]]
+
+    @staticmethod
+    def _pace_patience_s(req: PlaceRequest, good_s: float, now_s: float) -> float:
+        """Return how long a request may wait for a machine with a good pace.
+
+        Until the last start that meets its objective; beyond that, until the last
+        that is answered at all.
+        """
+        in_aim_s = req.objective_s - now_s - good_s
+        if in_aim_s > MIN_WAIT_S:
+            return in_aim_s
+        return req.deadline_s - now_s - good_s / SHORT_WORK
+
     def _allowed(
         self, loads: Sequence[BackendLoad], req: PlaceRequest
     ) -> list[BackendLoad]:
@@ -288,22 +357,37 @@
             return sends < max(1, int(rule.cold_rate))
         return sends == 0 and load.own == 0
 
-    def _time_s(
+    def _rate(
         self,
         load: BackendLoad,
         req: PlaceRequest,
+        survey: "_Survey",
         count: float,
-        sharing: float,
-        speed: float,
         now_s: float,
-    ) -> float:
-        time_s = req.work_s * load.slowness(now_s)
-        time_s = max(0.0, time_s + load.pace_delay_s(now_s, speed))
+    ) -> _Candidate:
+        """Return what a request may expect at a server with room."""
+        base_s = req.work_s * load.slowness(now_s)
         if count + 1.0 >= load.entry.slots and load.entry.slots > 1:
-            time_s *= sharing
-        if load.is_cold(now_s):
-            time_s *= COLD_FACTOR
-        return time_s
+            base_s *= survey.sharing
+        cold = COLD_FACTOR if load.is_cold(now_s) else 1.0
+        if load.group == self._book.groups.own:
+            time_s = base_s * load.pace_factor(now_s, survey.pace * cold)
+        else:
+            # The host that keeps the place there chooses by the present pace.
+            time_s = base_s * survey.good_pace * cold
+        extra_s = self._extra_s(load, req, count, survey.sharing, now_s)
+        found = _Candidate(load, count, time_s, time_s + extra_s)
+        good_s = base_s * survey.good_pace * cold
+        found.best_s = good_s + extra_s
+        found.lost_s = time_s - good_s
+        found.is_stale = (
+            survey.reports_pace
+            and load.group == self._book.groups.own
+            and not load.is_cold(now_s)
+            and load.pace_age_s(now_s) > FRESH_PACE_S
+            and load.may_probe(now_s)
+        )
+        return found
 
     def _extra_s(
         self,
--- a/src/crocusward/placing/_work.py
+++ b/src/crocusward/placing/_work.py
@@ -2,8 +2,6 @@
 
 import math
 
-from ._load import PACE_MEMORY_S
-
 GAIN = 0.08  # weight of the newest answer
 FIRST_SAMPLES = 12  # that weigh equally
 START_SHARE = 1.0 / 3.0  # of the objective; operators set objectives at a few times it
@@ -16,6 +14,8 @@
 MIN_RATIO = 0.01
 TIMEOUT_BLAME = 2.5  # times the usual time of the route
 PACE_GAIN = 0.02
+START_PACE = 1.5  # of shared machines, until reports tell
+START_WEIGHT = 10  # reports that weigh as much as the start value
 
 
 class _Mean:
@@ -52,16 +52,37 @@
         self.value += gain * (math.log(ratio) - self.value)
 
 
+class _PaceMean:
+    """Average of reported paces, and the average of those that are not above it."""
+
+    __slots__ = ("value", "best", "samples")
+
+    def __init__(self) -> None:
+        self.value = START_PACE
+        self.best = 1.0
+        self.samples = 0
+
+    def add(self, pace: float) -> None:
+        """Add a reported pace."""
+        self.samples += 1
+        gain = max(PACE_GAIN, 1.0 / (self.samples + START_WEIGHT))
+        self.value += gain * (pace - self.value)
+        if pace <= self.value:
+            self.best += gain * (pace - self.best)
+        self.best = min(self.best, self.value)
+
+
 class WorkTimes:
     """Learns work by route, the cost of sharing by service, and the usual pace."""
 
-    __slots__ = ("_work", "_alone", "_shared", "_speed")
+    __slots__ = ("_work", "_alone", "_shared", "_pace", "_paceless")
 
     def __init__(self) -> None:
         self._work: dict[tuple[str, str], _Mean] = {}
         self._alone: dict[str, _LogMean] = {}
         self._shared: dict[str, _LogMean] = {}
-        self._speed: dict[str, _Mean] = {}
+        self._pace: dict[str, _PaceMean] = {}
+        self._paceless: set[str] = set()
 
     def work_s(self, service: str, route: str, objective_s: float) -> float:
         """Return the usual time of a request on a server that it has to itself."""
@@ -78,19 +99,35 @@
         measured = math.exp(shared.value - alone.value)
         return min(MAX_SHARING, max(1.0, 1.0 + OVERLAP * (measured - 1.0)))
 
-    def usual_speed(self, service: str) -> float:
-        """Return the average work per time of the servers' machines."""
-        mean = self._speed.get(service)
-        return mean.value if mean else 1.0
+    def has_pace(self, service: str) -> bool:
+        """Return False if the servers of a service answer without their pace."""
+        return service not in self._paceless
+
+    def usual_pace(self, service: str) -> float:
+        """Return the average pace of the servers' machines, 1.0 when they are free."""
+        mean = self._pace.get(service)
+        if mean is not None:
+            return mean.value
+        return START_PACE if self.has_pace(service) else 1.0
 
-    def pace_gain_s(self, service: str) -> float:
-        """Return the time that a server with a good pace saves on average."""
-        return (1.0 - self.usual_speed(service)) * PACE_MEMORY_S / 2.0
+    def best_pace(self, service: str) -> float:
+        """Return a pace that the better machines of a service often have."""
+        mean = self._pace.get(service)
+        return mean.best if mean else 1.0
 
     def observe_pace(self, service: str, pace: float) -> None:
-        """Add a reported pace, the time that work takes relative to the usual."""
-        mean = self._speed.setdefault(service, _Mean(1.0 / pace))
-        mean.value += PACE_GAIN * (1.0 / pace - mean.value)
+        """Add the pace that an answer reports.
+
+        Args:
+            service: Name of the service.
+            pace: Time that work takes relative to the usual, 0.0 without a report.
+        """
+        if pace <= 0.0:
+            if service not in self._pace:
+                self._paceless.add(service)
+            return
+        self._paceless.discard(service)
+        self._pace.setdefault(service, _PaceMean()).add(pace)
 
     def observe_timeout(
         self, service: str, route: str, objective_s: float, after_s: float
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -221,7 +221,7 @@
             running, timeout=hedge_s, return_when=asyncio.FIRST_COMPLETED
         )
         if not done:
-            choice = self._hedge(call)
+            choice = await self._hedge(call, running)
             if choice is not None:
                 running[self._launch(call, choice)] = choice
             else:
@@ -244,7 +244,9 @@
         late_s = HEDGE_FACTOR * choice.expected_s
         return max(HEDGE_MIN_S, min(late_s, max(in_time_s, choice.expected_s)))
 
-    def _hedge(self, call: Call) -> Choice | None:
+    async def _hedge(
+        self, call: Call, running: dict[asyncio.Task[Exchange], Choice]
+    ) -> Choice | None:
         now_s = self._now()
         service = call.place.service
         if (
@@ -254,13 +256,10 @@
             return None
         if self._retries.left(service, now_s) < 1.0 + HEDGE_RESERVE:
             return None
-        try:
-            choice = self._placer.choose(call.place, now_s, may_wait=False)
-        except Refused:
-            return None
-        load = choice.load
-        if load is None or choice.in_flight >= 1.0:
+        choice = await self._places.find_second(call.place)
+        if choice is None or any(task.done() for task in running):
             return None
+        now_s = self._now()
         is_in_time = now_s + call.place.work_s <= call.place.objective_s
         if choice.idle < (HEDGE_IDLE if is_in_time else HEDGE_LATE_IDLE):
             return None
@@ -340,24 +339,29 @@
         seen = result.seen
         load = choice.load
         assert load is not None
-        if seen.pace > 0.0:
+        if seen.pace > 0.0 or result.end is ExchangeEnd.ANSWERED:
             self._times.observe_pace(call.place.service, seen.pace)
         now_s = self._now()
         if seen.kind is SightingKind.SILENT:
             route = call.place.route
-            blamed = self._times.observe_timeout(
-                call.place.service, route.name, route.objective_s, now_s - begun_s
+            blamed = choice.is_paced and self._times.observe_timeout(
+                call.place.service,
+                route.name,
+                route.objective_s,
+                (now_s - begun_s) / choice.pace,
             )
             if not blamed:
                 seen.kind = SightingKind.REFUSED
         if not result.is_good or load.is_cold(begun_s):
             return
+        if not choice.is_paced:
+            return
         filled = choice.in_flight + 1.0 >= load.entry.slots
         ratio = self._times.observe(
             call.place.service,
             call.place.route.name,
             call.place.route.objective_s,
-            now_s - begun_s,
+            (now_s - begun_s) / choice.pace,
             filled,
         )
         load.observe_time(ratio, now_s)
--- a/src/crocusward/relay/_places.py
+++ b/src/crocusward/relay/_places.py
@@ -1,6 +1,7 @@
 """Finds a place at a backend server: chosen here, waited for, or asked for."""
 
 import asyncio
+from collections.abc import Collection
 from typing import Protocol
 
 from ..desired import Directory
@@ -18,7 +19,7 @@
     RequestQueue,
 )
 from ..timing import TimerService
-from ._probing import PaceProber
+from ._probing import MAX_ROUNDS, PaceProber
 
 QUEUE_CHECK_S = 0.03  # catches room that no report announced
 RETRY_S = 0.2  # after which a full data centre may have room
@@ -34,14 +35,25 @@
         backend: Id of the server, or ``FULL``.
         address: IP address of the host.
         token: Number of the question.
+        pace: Pace of its machine; 1.0 is usual, 0.0 unknown.
+        in_flight: Requests at the server besides this one.
     """
 
-    __slots__ = ("backend", "address", "token")
+    __slots__ = ("backend", "address", "token", "pace", "in_flight")
 
-    def __init__(self, backend: str, address: str, token: int) -> None:
+    def __init__(
+        self,
+        backend: str,
+        address: str,
+        token: int,
+        pace: float = 0.0,
+        in_flight: int = 0,
+    ) -> None:
         self.backend = backend
         self.address = address
         self.token = token
+        self.pace = pace
+        self.in_flight = in_flight
 
 
 class Announcer(Protocol):
@@ -97,6 +109,7 @@
         "_queues",
         "_kept",
         "_checking",
+        "_probing",
     )
 
     def __init__(
@@ -118,6 +131,7 @@
         self._sampler = sampler
         self._queues: dict[str, RequestQueue] = {}
         self._checking = False
+        self._probing: dict[str, asyncio.Task[bool]] = {}
         self._kept: dict[tuple[str, int], BackendLoad] = {}
 
     def has_waiting(self, service: str) -> bool:
@@ -132,27 +146,20 @@
         """
         full: set[str] = set()
         is_patient = True
-        is_fresh = True
         while True:
             now_s = self._timer.now()
             if now_s + MIN_SEND_S >= place.deadline_s:
                 raise Refused("no time is left", 0.0, code="no_time")
             queue = self._queues.setdefault(place.service, RequestQueue())
-            ahead = queue.ahead_of(place, now_s) if is_patient else 0
-            choice = self._placer.choose(
-                place, now_s, ahead=ahead, may_wait=is_patient, avoid=full
-            )
+            choice = await self._choose(place, queue, is_patient, full)
             load = choice.load
             if load is None:
                 if await self._wait(place, queue, choice, not is_patient):
                     return choice
-                is_patient = False
-                full.clear()
+                if not choice.awaits_pace:
+                    is_patient = False
+                    full.clear()
             elif load.group == self._book.groups.own:
-                if self._prober is not None and is_fresh:
-                    is_fresh = False
-                    if await self._prober.refresh(choice, place.service):
-                        continue
                 return choice
             else:
                 found = await self._ask(place, choice, is_patient)
@@ -166,6 +173,47 @@
                 else:
                     raise Refused("no room elsewhere", RETRY_S, code="no_room")
 
+    async def _choose(
+        self,
+        place: PlaceRequest,
+        queue: RequestQueue,
+        is_patient: bool,
+        avoid: Collection[str] = (),
+        *,
+        own_group: bool = False,
+    ) -> Choice:
+        """Decide on a request by the present pace of the servers in question."""
+        for rounds_left in range(MAX_ROUNDS, -1, -1):
+            now_s = self._timer.now()
+            choice = self._placer.choose(
+                place,
+                now_s,
+                ahead=queue.ahead_of(place, now_s) if is_patient else 0,
+                may_wait=is_patient,
+                own_group=own_group,
+                avoid=avoid,
+            )
+            if self._prober is None or not rounds_left or not choice.stale:
+                break
+            if not await self._prober.refresh(
+                choice.stale, place.service, place.work_s
+            ):
+                break
+        return choice
+
+    async def find_second(self, place: PlaceRequest) -> Choice | None:
+        """Return a place for a second copy of a request at an idle server here."""
+        queue = self._queues.setdefault(place.service, RequestQueue())
+        if queue:
+            return None
+        try:
+            choice = await self._choose(place, queue, False, own_group=True)
+        except Refused:
+            return None
+        if choice.load is None or choice.in_flight >= 1.0:
+            return None
+        return choice
+
     async def _ask(
         self, place: PlaceRequest, choice: Choice, is_patient: bool
     ) -> Choice | None:
@@ -189,6 +237,10 @@
             return None
         if self._placer.is_allowed(found, place.route):
             choice.load = found
+            choice.in_flight = float(kept.in_flight)
+            choice.is_paced = kept.pace > 0.0
+            choice.pace = kept.pace or choice.pace
+            choice.expected_s = place.work_s * choice.pace
             choice.release = lambda: self._announcer.release(kept)
         return choice
 
@@ -245,6 +297,8 @@
                 queue.discard(item)
                 item.fut.set_exception(exc)
                 continue
+            if choice.stale and self._probe_for(choice, item.req):
+                break  # the probes lead back here
             if choice.load is not None:
                 queue.discard(item)
                 # Counted at once, so that the next in the queue sees it.
@@ -254,6 +308,25 @@
             elif choice.free == 0:
                 break
 
+    def _probe_for(self, choice: Choice, place: PlaceRequest) -> bool:
+        """Probe for the waiting requests of a service; return whether under way."""
+        prober = self._prober
+        service = place.service
+        if prober is None or not prober.pays(service, place.work_s):
+            return False
+        if service in self._probing:
+            return True
+        task = asyncio.get_running_loop().create_task(
+            prober.refresh(choice.stale, service, place.work_s)
+        )
+        self._probing[service] = task
+        task.add_done_callback(lambda _: self._on_probed(service))
+        return True
+
+    def _on_probed(self, service: str) -> None:
+        del self._probing[service]
+        self.room_changed(service)
+
     def _check_later(self) -> None:
         if not self._checking:
             self._checking = True
@@ -277,7 +350,7 @@
         work_s: float,
         shared: bool,
         wait_s: float,
-    ) -> str:
+    ) -> Choice | None:
         """Keep a place for a host of another group.
 
         Args:
@@ -289,13 +362,13 @@
             wait_s: How long the request may wait here.
 
         Returns:
-            The id of the backend server, or ``FULL``.
+            The choice of a server, or None if there is no room.
         """
         now_s = self._timer.now()
         state = self._directory.state
         route = state.route_named(route_name) if state else None
         if route is None:
-            return FULL
+            return None
         place = PlaceRequest(
             "",
             route,
@@ -306,24 +379,18 @@
         )
         queue = self._queues.setdefault(service, RequestQueue())
         try:
-            choice = self._placer.choose(
-                place,
-                now_s,
-                ahead=queue.ahead_of(place, now_s),
-                may_wait=not shared,
-                own_group=True,
-            )
+            choice = await self._choose(place, queue, not shared, own_group=True)
             is_idle_only = not shared and wait_s <= 0.0
             if choice.load is None or (choice.in_flight >= 1.0 and is_idle_only):
                 choice.load = None
                 choice.patience_s = wait_s
                 if wait_s <= 0.0 or not await self._wait(place, queue, choice, shared):
-                    return FULL
+                    return None
         except Refused:
-            return FULL
+            return None
         load = choice.load
         if load is None:
-            return FULL
+            return None
         now_s = self._timer.now()
         if choice.begun_s is not None:
             load.end(choice.begun_s)
@@ -332,7 +399,7 @@
         self._kept[key] = load
         self._timer.call_later(kept_s, lambda: self.end_offer(key))
         self._announcer.announce(load, None)
-        return load.entry.id
+        return choice
 
     def end_offer(self, key: tuple[str, int]) -> None:
         """Give a place back, when the request has ended or its time is over."""
--- a/src/crocusward/relay/_probing.py
+++ b/src/crocusward/relay/_probing.py
@@ -1,16 +1,17 @@
 """Probes the pace of the servers of a choice just before it is made."""
 
 import asyncio
+from collections.abc import Sequence
 
 from ..desired import Directory
-from ..placing import BackendLoad, Choice, WorkTimes
+from ..placing import BackendLoad, WorkTimes
 from ..timing import TimerService
 from ._exchange import BackendLink
 
-FRESH_S = 0.05  # a pace reported within this time is not asked for again
-PROBE_WAIT_S = 0.01  # a probe that takes longer is no help to the request
+PROBE_WAIT_S = 0.03  # a probe that takes longer is no help to the request
 PROBE_TIMEOUT_S = 0.3
 PROBE_WORTH = 3.0  # times the time of a probe that a good pace must save
+MAX_ROUNDS = 4  # of probes for one choice
 PROBE_GAIN = 0.1  # weight of the newest probe in the usual time of one
 FIRST_PROBE_S = 0.002  # until the time of a probe is known
 
@@ -20,7 +21,7 @@
 
     Answers loads in which shared machines slow a part of the servers many times a
     second, so that reports in answers are too old to choose by. It probes only where
-    a probe costs little beside what it saves, and only over open connections.
+    a probe costs little beside what it saves.
 
     Args:
         timer: Source of time.
@@ -52,43 +53,62 @@
         self._times = times
         self._link = link
         self._cost_s: dict[str, float] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[float | None]] = set()
 
-    def pays(self, service: str) -> bool:
+    def pays(self, service: str, work_s: float) -> bool:
         """Return whether a probe saves more than it costs."""
+        if not self._times.has_pace(service):
+            return False
         cost_s = self._cost_s.get(service, FIRST_PROBE_S)
-        return self._times.pace_gain_s(service) > PROBE_WORTH * cost_s
+        spread = self._times.usual_pace(service) - self._times.best_pace(service)
+        return spread * work_s > PROBE_WORTH * cost_s
 
-    async def refresh(self, choice: Choice, service: str) -> bool:
-        """Probe the servers of a choice; return whether any has answered."""
-        if choice.load is None or not choice.runners_up or not self.pays(service):
-            return False
-        now_s = self._timer.now()
-        tasks = [
-            asyncio.get_running_loop().create_task(self._probe(load, service))
-            for load in (choice.load, *choice.runners_up)
-            if load.pace_age_s(now_s) > FRESH_S and self._link.idle_connections(load)
-        ]
-        if not tasks:
+    async def refresh(
+        self, loads: Sequence[BackendLoad], service: str, work_s: float
+    ) -> bool:
+        """Probe servers; return whether any has answered.
+
+        Returns with the first answer that reports a good pace.
+        """
+        if not loads or not self.pays(service, work_s):
             return False
-        for task in tasks:
+        pending = set()
+        for load in loads:
+            task = asyncio.get_running_loop().create_task(self._probe(load, service))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-        done, _ = await asyncio.wait(tasks, timeout=PROBE_WAIT_S)
-        return bool(done)
+            pending.add(task)
+        end_s = self._timer.now() + PROBE_WAIT_S
+        has_answer = False
+        while pending:
+            done, pending = await asyncio.wait(
+                pending,
+                timeout=max(0.0, end_s - self._timer.now()),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not done:
+                break
+            paces = [pace for task in done if (pace := task.result()) is not None]
+            has_answer = has_answer or bool(paces)
+            if any(pace <= self._times.best_pace(service) for pace in paces):
+                break
+        return has_answer
 
-    async def _probe(self, load: BackendLoad, service: str) -> None:
+    async def _probe(self, load: BackendLoad, service: str) -> float | None:
+        """Probe a server; return the pace that it reports."""
         state = self._directory.state
         rule = state.services.get(service) if state else None
         if rule is None:
-            return
+            return None
         self.probes += 1
         began_s = self._timer.now()
         seen = await self._link.probe(load, rule.health_path, PROBE_TIMEOUT_S)
         now_s = self._timer.now()
         cost_s = self._cost_s.get(service, FIRST_PROBE_S)
         self._cost_s[service] = cost_s + PROBE_GAIN * (now_s - began_s - cost_s)
-        if seen is not None:
-            load.observe(seen, now_s)
-            if seen.pace > 0.0:
-                self._times.observe_pace(service, seen.pace)
+        if seen is None:
+            load.probe_missed_s = now_s
+            return None
+        load.observe(seen, now_s)
+        self._times.observe_pace(service, seen.pace)
+        return seen.pace or None
--- a/src/crocusward/relay/_requests.py
+++ b/src/crocusward/relay/_requests.py
@@ -79,6 +79,8 @@
             backend=choice.load.entry.id if choice.load else "",
             in_flight=choice.in_flight,
             expected_s=choice.expected_s,
+            pace=choice.pace,
+            pace_age_s=choice.pace_age_s,
             attempt=call.runs,
         )
 
