Use other data centres when all servers here are closed

Closed servers have no requests and counted as idle, so that no other server was looked at.

Change: only servers that are open to the request count as idle.

The new test fails before the change.

--- a/src/crocusward/placing/_placer.py
+++ b/src/crocusward/placing/_placer.py
@@ -207,7 +207,7 @@
         survey = _Survey(self._times, req.service)
         own = self._book.groups.own
         allowed = self._allowed(self._book.in_group(req.service, own), req)
-        if not own_group and not any(load.in_flight(now_s) < 1.0 for load in allowed):
+        if not own_group and not self._has_idle(allowed, req, now_s):
             others = self._book.by_service.get(req.service, [])
             if len(others) > SAMPLED:
                 others = self._rng.sample(others, SAMPLED)
@@ -241,6 +241,15 @@
         survey.candidates.sort(key=lambda found: found.score_s)
         return survey
 
+    def _has_idle(
+        self, loads: Sequence[BackendLoad], req: PlaceRequest, now_s: float
+    ) -> bool:
+        """Return whether a server is open to a request and has none."""
+        return any(
+            load.in_flight(now_s) < 1.0 and self._is_open(load, req, now_s, False)
+            for load in loads
+        )
+
     def _decide(
         self,
         req: PlaceRequest,
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -110,6 +110,13 @@
         bench = Bench(backend("b1"), backend("b2", "east-b"))
         self.assertEqual(bench.choose().load.entry.id, "b1")
 
+    def test_other_data_centre_when_all_servers_here_fail(self):
+        """Guards against refusals while another data centre can serve."""
+        bench = Bench(backend("b1"), backend("b2"), backend("b3", "east-b"))
+        for id in ("b1", "b2"):
+            bench.see(id, SightingKind.UNREACHABLE)
+        self.assertEqual(bench.choose().load.entry.id, "b3")
+
     def test_other_region_only_when_nothing_here_can_run_it(self):
         """Guards against a full narrow link while servers here merely are busy."""
         bench = Bench(backend("b1", slots=1), backend("b2", "west-a"))
