Look beyond a failing group, repeat the look for a second server, probe unasked places

Change: one rule says which servers are open, also for the look beyond the group; a late idempotent request looks again every 60 ms, beside fewer idle servers than before; a server of another group that no host answered for must answer a probe first, and a server without an answer to a probe counts as closed for a second.

The three new tests fail before the change.

--- a/src/crocusward/placing/_load.py
+++ b/src/crocusward/placing/_load.py
@@ -8,6 +8,7 @@
 
 PACE_MEMORY_S = 0.15  # shared machines change their pace many times a second
 PROBE_PAUSE_S = 0.2  # after a probe without an answer; the server may be full
+PROBE_MISS_S = 1.0  # for which a server without an answer to a probe gets nothing
 OTHERS_MEMORY_S = 0.15  # about the time of one request
 SLOWNESS_GAIN = 0.3  # weight of the newest answer
 SLOWNESS_HALF_LIFE_S = 4.0  # a slow server is tried again within seconds
@@ -193,6 +194,13 @@
         """Return recent failures, each counting less as it ages."""
         return self._blame * 0.5 ** ((now_s - self._blame_s) / BLAME_HALF_LIFE_S)
 
+    def is_closed(self, now_s: float) -> bool:
+        """Return True while failures, or a probe without an answer, keep it closed."""
+        missed = self.probe_missed_s > max(self._answered_s, self._pace_s)
+        return now_s < self.closed_until_s or (
+            missed and now_s - self.probe_missed_s < PROBE_MISS_S
+        )
+
     def is_on_trial(self, now_s: float) -> bool:
         """Return True between a pause and the next answer."""
         return self._closings > 0 and now_s >= self.closed_until_s
--- a/src/crocusward/placing/_placer.py
+++ b/src/crocusward/placing/_placer.py
@@ -213,8 +213,7 @@
                 others = self._rng.sample(others, SAMPLED)
             others = [load for load in others if load.group != own]
             allowed = allowed + self._allowed(others, req)
-        closed = sum(now_s < load.closed_until_s for load in allowed)
-        ignores_closing = closed > PANIC_SHARE * len(allowed)
+        ignores_closing = self._ignores_closing(allowed, now_s)
         for load in allowed:
             entry = load.entry
             is_own = load.group == own
@@ -245,11 +244,19 @@
         self, loads: Sequence[BackendLoad], req: PlaceRequest, now_s: float
     ) -> bool:
         """Return whether a server is open to a request and has none."""
+        ignores_closing = self._ignores_closing(loads, now_s)
         return any(
-            load.in_flight(now_s) < 1.0 and self._is_open(load, req, now_s, False)
+            load.in_flight(now_s) < 1.0
+            and self._is_open(load, req, now_s, ignores_closing)
             for load in loads
         )
 
+    @staticmethod
+    def _ignores_closing(loads: Sequence[BackendLoad], now_s: float) -> bool:
+        """Return whether so many servers fail that closing them helps nobody."""
+        closed = sum(load.is_closed(now_s) for load in loads)
+        return closed > PANIC_SHARE * len(loads)
+
     def _decide(
         self,
         req: PlaceRequest,
@@ -350,7 +357,7 @@
             return False
         if ignores_closing:
             return not load.is_unreachable
-        if now_s < load.closed_until_s:
+        if load.is_closed(now_s):
             return False
         if load.is_on_trial(now_s):
             return req.route.idempotent and load.own == 0
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -30,10 +30,11 @@
 HEDGE_FACTOR = 2.0
 HEDGE_WORK = 1.2  # times the work that a second copy needs to meet the objective
 HEDGE_MIN_S = 0.03
+HEDGE_AGAIN_S = 0.06  # until another look for an idle server
 # Share of idle servers from which a second copy takes no room of other requests; more
 # is asked for a copy that can only be late.
-HEDGE_IDLE = 0.5
-HEDGE_LATE_IDLE = 0.7
+HEDGE_IDLE = 0.2
+HEDGE_LATE_IDLE = 0.4
 HEDGE_RESERVE = 2.0  # repeats kept for failures
 LOSER_GRACE_S = 0.25  # the slower of two copies may end by itself within this time
 MEMORY_SHARE = 0.25  # of the host's memory may hold request bodies
@@ -212,24 +213,25 @@
         now_s = self._now()
         left_s = max(0.0, call.place.deadline_s - now_s)
         hedge_s = self._hedge_delay_s(call, running)
+        done: set[asyncio.Task[Exchange]] = set()
         if hedge_s is None or hedge_s >= left_s:
             done, _ = await asyncio.wait(
                 running, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
             )
             return done
-        done, _ = await asyncio.wait(
-            running, timeout=hedge_s, return_when=asyncio.FIRST_COMPLETED
-        )
-        if not done:
+        while not done and (left_s := call.place.deadline_s - self._now()) > 0.0:
+            done, _ = await asyncio.wait(
+                running,
+                timeout=min(hedge_s, left_s),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if done:
+                break
             choice = await self._hedge(call, running)
             if choice is not None:
                 running[self._launch(call, choice)] = choice
-            else:
-                done, _ = await asyncio.wait(
-                    running,
-                    timeout=max(0.0, call.place.deadline_s - self._now()),
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
+                break
+            hedge_s = HEDGE_AGAIN_S
         return done
 
     def _hedge_delay_s(
--- a/src/crocusward/relay/_places.py
+++ b/src/crocusward/relay/_places.py
@@ -231,7 +231,7 @@
         group = choice.load.group
         kept = await self._announcer.ask(place, group, shared, max(0.0, wait_s))
         if kept is None:
-            return None if choice.near_by else choice
+            return await self._take_unasked(place, choice)
         found = self._book.loads.get(kept.backend)
         if found is None or kept.backend in place.excluded:
             return None
@@ -244,6 +244,21 @@
             choice.release = lambda: self._announcer.release(kept)
         return choice
 
+    async def _take_unasked(self, place: PlaceRequest, choice: Choice) -> Choice | None:
+        """Return a choice of another group that nobody there answered for.
+
+        Hosts and servers of a data centre fail together, so that the server must
+        answer a probe first.
+        """
+        load = choice.load
+        if choice.near_by or load is None:
+            return None
+        if self._prober is not None:
+            is_alive = await self._prober.is_alive(load, place.service)
+            if not is_alive or load.in_flight(self._timer.now()) >= load.entry.slots:
+                return None
+        return choice
+
     async def _wait(
         self, place: PlaceRequest, queue: RequestQueue, choice: Choice, shares: bool
     ) -> bool:
--- a/src/crocusward/relay/_probing.py
+++ b/src/crocusward/relay/_probing.py
@@ -4,11 +4,13 @@
 from collections.abc import Sequence
 
 from ..desired import Directory
+from ..neighbours import Sighting
 from ..placing import BackendLoad, WorkTimes
 from ..timing import TimerService
 from ._exchange import BackendLink
 
 PROBE_WAIT_S = 0.03  # a probe that takes longer is no help to the request
+ALIVE_WAIT_S = 0.1  # some round trips between regions
 PROBE_TIMEOUT_S = 0.3
 PROBE_WORTH = 3.0  # times the time of a probe that a good pace must save
 MAX_ROUNDS = 4  # of probes for one choice
@@ -53,7 +55,7 @@
         self._times = times
         self._link = link
         self._cost_s: dict[str, float] = {}
-        self._tasks: set[asyncio.Task[float | None]] = set()
+        self._tasks: set[asyncio.Task[Sighting | None]] = set()
 
     def pays(self, service: str, work_s: float) -> bool:
         """Return whether a probe saves more than it costs."""
@@ -66,18 +68,13 @@
     async def refresh(
         self, loads: Sequence[BackendLoad], service: str, work_s: float
     ) -> bool:
-        """Probe servers; return whether any has answered.
+        """Probe servers if it pays; return whether any has answered.
 
         Returns with the first answer that reports a good pace.
         """
         if not loads or not self.pays(service, work_s):
             return False
-        pending = set()
-        for load in loads:
-            task = asyncio.get_running_loop().create_task(self._probe(load, service))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-            pending.add(task)
+        pending = {self._start(load, service) for load in loads}
         end_s = self._timer.now() + PROBE_WAIT_S
         has_answer = False
         while pending:
@@ -88,14 +85,29 @@
             )
             if not done:
                 break
-            paces = [pace for task in done if (pace := task.result()) is not None]
-            has_answer = has_answer or bool(paces)
-            if any(pace <= self._times.best_pace(service) for pace in paces):
+            found = [seen for task in done if (seen := task.result()) is not None]
+            has_answer = has_answer or bool(found)
+            good_pace = self._times.best_pace(service)
+            if any(0.0 < seen.pace <= good_pace for seen in found):
                 break
         return has_answer
 
-    async def _probe(self, load: BackendLoad, service: str) -> float | None:
-        """Probe a server; return the pace that it reports."""
+    async def is_alive(self, load: BackendLoad, service: str) -> bool:
+        """Return whether a server answers a probe soon."""
+        task = self._start(load, service)
+        done, _ = await asyncio.wait({task}, timeout=ALIVE_WAIT_S)
+        return bool(done) and task.result() is not None
+
+    def _start(
+        self, load: BackendLoad, service: str
+    ) -> "asyncio.Task[Sighting | None]":
+        task = asyncio.get_running_loop().create_task(self._probe(load, service))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _probe(self, load: BackendLoad, service: str) -> Sighting | None:
+        """Probe a server and take over what it reports."""
         state = self._directory.state
         rule = state.services.get(service) if state else None
         if rule is None:
@@ -111,4 +123,4 @@
             return None
         load.observe(seen, now_s)
         self._times.observe_pace(service, seen.pace)
-        return seen.pace or None
+        return seen
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -117,6 +117,15 @@
             bench.see(id, SightingKind.UNREACHABLE)
         self.assertEqual(bench.choose().load.entry.id, "b3")
 
+    def test_other_data_centre_when_the_one_open_server_here_cannot_be_reached(self):
+        """Guards against refusals while a failed data centre returns."""
+        entries = [backend(f"b{n}") for n in range(4)]
+        bench = Bench(*entries, backend("c1", "east-b"))
+        for entry in entries:
+            bench.see(entry.id, SightingKind.UNREACHABLE)
+        bench.book.loads["b0"].closed_until_s = bench.now_s - 0.1
+        self.assertEqual(bench.choose().load.entry.id, "c1")
+
     def test_other_region_only_when_nothing_here_can_run_it(self):
         """Guards against a full narrow link while servers here merely are busy."""
         bench = Bench(backend("b1", slots=1), backend("b2", "west-a"))
@@ -212,6 +221,19 @@
         bench.now_s += 0.8
         self.assertTrue(bench.book.loads["b1"].is_on_trial(bench.now_s))
 
+    def test_server_that_missed_a_probe_gets_nothing_until_it_answers(self):
+        """Guards against sending to a server that fell silent."""
+        bench = Bench(*[backend(f"b{n}") for n in range(3)])
+        silent = bench.book.loads["b0"]
+        silent.probe_missed_s = bench.now_s
+        for load in bench.book.loads.values():
+            if load is not silent:
+                load.begin(bench.now_s)
+        self.assertNotEqual(bench.choose(may_wait=False).load.entry.id, "b0")
+        bench.now_s += 0.1
+        bench.see("b0")
+        self.assertEqual(bench.choose(may_wait=False).load.entry.id, "b0")
+
     def test_failures_of_most_servers_close_none(self):
         """Guards against refusing everything during a fault that hits all servers."""
         bench = Bench(backend("b1"), backend("b2"))
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -150,6 +150,25 @@
         self.assertEqual(found.status, 200)
         self.assertEqual(len(broken.requests), 1)
 
+    async def test_late_request_is_repeated_once_a_server_is_idle(self):
+        """Guards against a lookup that stays with a silent server to its end."""
+        slow = route(objective_s=0.4, timeout_s=3.0)
+        async with (
+            ScriptedServer([5.0]) as silent,
+            ScriptedServer([reply("q1")]) as sound,
+        ):
+            async with self.relay(silent, sound, state=desired(slow)) as relay:
+                other = relay.book.loads["b1"]
+                other.own = 1  # busy when the request is sent, and when it is late
+                client = await relay.client()
+                client.send()
+                await asyncio.sleep(0.6)
+                self.assertEqual(len(silent.requests), 1)
+                other.own = 0
+                async with asyncio.timeout(1.0):
+                    found = await client.raw.read()
+        self.assertEqual(found.status, 200)
+
     async def test_repeats_stay_within_the_budget(self):
         """Guards against a flood of repeats while all servers fail."""
         async with (
