Derive the times of store reads from the bounds, gather changes

Change: wait, margin and the age at which a reader is replaced are shares of the shortest bound on changes; after a change the reader pauses for a tenth of the bound.

The test of ranks compares with the time that the bound gives; a new test keeps the replacement of a reader within bounds of 2, 3 and 9 s.

--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -14,7 +14,7 @@
 from ..errors import ConflictError, CrocusError
 from ..invariants import Invariants, Violation
 from ..logs import EventSampler, Level, LogPipe, log_event
-from ..neighbours import NeighbourTable
+from ..neighbours import NeighbourTable, ReadTimes
 from ..placing import Groups, LoadBook, Placer, RetryAllowance, WorkTimes
 from ..platform import (
     READY_PATH,
@@ -124,8 +124,10 @@
             self.timer.now,
             lambda: time.time() * 1000.0,
         )
-        self.peers = NeighbourTable(facts.name)
-        self.upstream = NeighbourTable(facts.name)
+        bound_s = min(facts.bounds.config_apply_s, facts.bounds.drain_s)
+        self._read_times = ReadTimes(bound_s)
+        self.peers = NeighbourTable(facts.name, self._read_times)
+        self.upstream = NeighbourTable(facts.name, self._read_times)
         self._store_pool = HttpPool(self.timer, connections=STORE_CONNECTIONS)
         self._backend_pool = HttpPool(
             self.timer,
@@ -210,6 +212,7 @@
             self.timer,
             self._rng,
             self.store,
+            self._read_times,
             self._is_reader,
             self._on_change,
             self._on_version,
--- a/src/crocusward/entryd/_reader.py
+++ b/src/crocusward/entryd/_reader.py
@@ -10,15 +10,11 @@
 from ..desired import RowChange, TableCopy, TablePage
 from ..errors import CrocusError, StoreUnavailableError
 from ..logs import EventSampler, Level, log_event
-from ..neighbours import Neighbour, NeighbourTable
+from ..neighbours import Neighbour, NeighbourTable, ReadTimes
 from ..platform import HistoryLostError, RowClient
 from ..timing import TimerService
 from ..upstream import HttpPool
 
-# A poll proves that this host still hears the store, so its wait bounds how long a cut
-# connection stays unnoticed. Below READER_STALE_S of the neighbours.
-POLL_WAIT_S = 0.8
-POLL_MARGIN_S = 0.6  # for the answer beyond the wait
 READ_TIMEOUT_S = 1.5
 TICK_S = 0.1  # period of the check who reads
 BACKOFF_FIRST_S = 0.1
@@ -39,6 +35,7 @@
         timer: Source of time.
         rng: Source of jitter.
         client: Calls the store.
+        times: Times of the reads.
         is_reader: Tells whether this host reads the store.
         on_change: Called with each changed row.
         on_version: Called after the version of the copy has grown.
@@ -54,6 +51,7 @@
         "_timer",
         "_rng",
         "_client",
+        "_times",
         "_is_reader",
         "_on_change",
         "_on_version",
@@ -61,6 +59,7 @@
         "_failed_since_s",
         "_wake",
         "_was_reader",
+        "_has_changed",
     )
 
     def __init__(
@@ -69,6 +68,7 @@
         timer: TimerService,
         rng: random.Random,
         client: RowClient,
+        times: ReadTimes,
         is_reader: Callable[[], bool],
         on_change: Callable[[str, RowChange], None],
         on_version: Callable[[], None],
@@ -78,6 +78,7 @@
         self._timer = timer
         self._rng = rng
         self._client = client
+        self._times = times
         self._is_reader = is_reader
         self._on_change = on_change
         self._on_version = on_version
@@ -85,6 +86,7 @@
         self._failed_since_s = 0.0
         self._wake = asyncio.Event()
         self._was_reader = False
+        self._has_changed = False
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
@@ -117,13 +119,18 @@
             page = await self._read_changes(copy)
         self._take_answer()
         self.take_page(page)
+        self._has_changed = bool(page.changes) and not page.complete
 
     async def _read_changes(self, copy: TableCopy) -> TablePage:
-        # After a failure an answer without a wait shows soonest that the store is back.
-        wait_s = 0.0 if self._failures else POLL_WAIT_S
+        wait_s = self._times.wait_s
+        if self._failures:
+            wait_s = 0.0  # such an answer shows soonest that the store is back
+        elif self._has_changed:
+            await self._timer.sleep(self._times.gather_s)
+            wait_s -= self._times.gather_s
         try:
             return await self._client.wait_for_changes(
-                copy.name, copy.version, wait_s, wait_s + POLL_MARGIN_S
+                copy.name, copy.version, wait_s, wait_s + self._times.margin_s
             )
         except HistoryLostError:
             log_event("history_lost", Level.WARNING, table=copy.name)
--- a/src/crocusward/neighbours/__init__.py
+++ b/src/crocusward/neighbours/__init__.py
@@ -15,6 +15,7 @@
     SightingKind,
 )
 from ._table import Neighbour, NeighbourTable
+from ._times import ReadTimes
 
 __all__ = [
     "Hello",
@@ -30,6 +31,7 @@
     "PlaceAsk",
     "PlaceDone",
     "PlaceOffer",
+    "ReadTimes",
     "Sighting",
     "SightingKind",
     "decode_message",
--- a/src/crocusward/neighbours/_table.py
+++ b/src/crocusward/neighbours/_table.py
@@ -2,15 +2,12 @@
 
 from ..model import Record
 from ._messages import HostReport
+from ._times import ReadTimes
 
 # Silence after which a neighbour's numbers no longer count. Three reports are missed;
 # a shorter time would drop neighbours on lossy links.
 SILENT_S = 1.0
 FORGET_S = 60.0  # silence after which a neighbour is no longer addressed
-# A reader whose last answer of the store is older than this is replaced. It exceeds
-# the wait of one long poll, and with the read of the successor it stays below the
-# 2 s in which operators expect changes to be in force.
-READER_STALE_S = 1.15
 TAKEOVER_STEP_S = 0.12  # the next in rank waits this long, so that one takes over
 
 
@@ -55,17 +52,19 @@
 
     There is no election. Each host reads the store unless a live neighbour that
     ranks before it had a recent answer of the store. A reader that freezes, dies or
-    loses the store is replaced by the next in rank within ``READER_STALE_S`` and
+    loses the store is replaced by the next in rank within ``ReadTimes.stale_s`` and
     ``TAKEOVER_STEP_S`` for each rank.
 
     Args:
         host: Name of this host.
+        times: Times of the reads.
     """
 
-    __slots__ = ("_host", "peers")
+    __slots__ = ("_host", "_times", "peers")
 
-    def __init__(self, host: str) -> None:
+    def __init__(self, host: str, times: ReadTimes) -> None:
         self._host = host
+        self._times = times
         self.peers: dict[str, Neighbour] = {}
 
     def add(self, host: str, address: str, now_s: float) -> bool:
@@ -123,12 +122,13 @@
         ahead = [p for p in live if p.host < self._host and not p.leaving]
         if not ahead:
             return True
-        if now_s - max(p.store_s for p in ahead) < READER_STALE_S:
+        stale_s = self._times.stale_s
+        if now_s - max(p.store_s for p in ahead) < stale_s:
             return False
-        if now_s - own_store_s < READER_STALE_S:
+        if now_s - own_store_s < stale_s:
             return True
         freshest_s = max(p.store_s for p in live)
-        return now_s - freshest_s >= READER_STALE_S + TAKEOVER_STEP_S * len(ahead)
+        return now_s - freshest_s >= stale_s + TAKEOVER_STEP_S * len(ahead)
 
     def source_of(self, table: str, version: int, now_s: float) -> Neighbour | None:
         """Return the neighbour with the newest rows beyond ``version``, or None."""
--- a/tests/test_entryd.py
+++ b/tests/test_entryd.py
@@ -19,6 +19,7 @@
     encode_page,
 )
 from crocusward.errors import StoreUnavailableError
+from crocusward.neighbours import ReadTimes
 from crocusward.platform import HistoryLostError
 from crocusward.timing import LoopTimer
 
@@ -90,6 +91,7 @@
             timer,
             random.Random(1),
             store,
+            ReadTimes(2.0),
             lambda: is_reader,
             lambda table, change: self.changes.append((change.key, change.value)),
             lambda: None,
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -11,11 +11,13 @@
     KnownHost,
     MessageError,
     NeighbourTable,
+    ReadTimes,
     Sighting,
     SightingKind,
     decode_message,
     encode_message,
 )
+from crocusward.neighbours._table import TAKEOVER_STEP_S
 
 
 def report(host, seq=1, *, age_s=0.1, incarnation=1, **options):
@@ -65,20 +67,20 @@
 class ReportOrderTest(unittest.TestCase):
     def test_older_report_is_dropped(self):
         """Guards against a late datagram that undoes a newer one."""
-        table = NeighbourTable("h1")
+        table = NeighbourTable("h1", ReadTimes(2.0))
         self.assertIsNotNone(table.take(report("h2", 5), "a", 0.0))
         self.assertIsNone(table.take(report("h2", 4), "a", 0.1))
 
     def test_restart_begins_anew(self):
         """Guards against ignoring a neighbour after its restart."""
-        table = NeighbourTable("h1")
+        table = NeighbourTable("h1", ReadTimes(2.0))
         table.take(report("h2", 50), "a", 0.0)
         self.assertIsNotNone(table.take(report("h2", 1, incarnation=2), "a", 0.1))
         self.assertIsNone(table.take(report("h2", 51), "a", 0.2))
 
     def test_lower_incarnation_after_silence_is_taken(self):
         """Guards against a clock that was set back before a restart."""
-        table = NeighbourTable("h1")
+        table = NeighbourTable("h1", ReadTimes(2.0))
         table.take(report("h2", 5, incarnation=9), "a", 0.0)
         self.assertIsNone(table.take(report("h2", 1, incarnation=8), "a", 0.5))
         self.assertIsNotNone(table.take(report("h2", 2, incarnation=8), "a", 2.0))
@@ -90,26 +92,26 @@
 
     def test_first_in_rank_reads(self):
         """Guards against a data centre without a reader."""
-        self.assertTrue(self.reads(NeighbourTable("h1"), 0.0))
-        table = NeighbourTable("h1")
+        self.assertTrue(self.reads(NeighbourTable("h1", ReadTimes(2.0)), 0.0))
+        table = NeighbourTable("h1", ReadTimes(2.0))
         table.take(report("h2"), "a", 0.0)
         self.assertTrue(self.reads(table, 0.0))
 
     def test_others_rest_while_the_first_reads(self):
         """Guards against every host calling the store."""
-        table = NeighbourTable("h2")
+        table = NeighbourTable("h2", ReadTimes(2.0))
         table.take(report("h1"), "a", 0.0)
         self.assertFalse(self.reads(table, 0.5))
 
     def test_silent_reader_is_replaced(self):
         """Guards against changes that are missed because the reader froze."""
-        table = NeighbourTable("h2")
+        table = NeighbourTable("h2", ReadTimes(2.0))
         table.take(report("h1"), "a", 0.0)
         self.assertTrue(self.reads(table, 1.1))
 
     def test_reader_that_lost_the_store_is_replaced(self):
         """Guards against changes that are missed because the reader was cut off."""
-        table = NeighbourTable("h2")
+        table = NeighbourTable("h2", ReadTimes(2.0))
         for step in range(12):
             now_s = 0.25 * step
             table.take(report("h1", step, age_s=0.1 + now_s), "a", now_s)
@@ -119,19 +121,31 @@
 
     def test_next_in_rank_waits_for_the_one_before(self):
         """Guards against all hosts reading at once after a loss."""
-        second = NeighbourTable("h2")
-        third = NeighbourTable("h3")
+        second = NeighbourTable("h2", ReadTimes(2.0))
+        third = NeighbourTable("h3", ReadTimes(2.0))
         for step in range(8):
             now_s = 0.2 * step
             for table in (second, third):
                 table.take(report("h1", step, age_s=now_s), "a", now_s)
             third.take(report("h2", step, age_s=now_s), "a", now_s)
-        self.assertTrue(self.reads(second, 1.3))
-        self.assertFalse(self.reads(third, 1.3))
+        due_s = ReadTimes(2.0).stale_s
+        self.assertFalse(self.reads(second, due_s))
+        self.assertTrue(self.reads(second, due_s + TAKEOVER_STEP_S))
+        self.assertFalse(self.reads(third, due_s + TAKEOVER_STEP_S))
+
+    def test_a_reader_is_replaced_within_the_bound(self):
+        """Guards against changes that are not in force in time after a loss."""
+        for bound_s in (2.0, 3.0, 9.0):
+            times = ReadTimes(bound_s)
+            read_s = 0.1  # one read, and handing the rows on
+            found_s = times.stale_s + 2 * TAKEOVER_STEP_S + read_s
+            self.assertLess(found_s, bound_s)
+            self.assertLess(times.wait_s + times.margin_s + 2 * read_s, bound_s)
+            self.assertGreater(times.stale_s, times.wait_s + 0.3)
 
     def test_newest_rows_are_found(self):
         """Guards against asking a neighbour that has nothing new."""
-        table = NeighbourTable("h1")
+        table = NeighbourTable("h1", ReadTimes(2.0))
         table.take(report("h2", versions={"op": 3}), "a", 0.0)
         table.take(report("h3", versions={"op": 5}), "b", 0.0)
         self.assertEqual(table.source_of("op", 4, 0.1).host, "h3")
