--- a/src/crocusward/devtools/fault_soak/_daemons.py
+++ b/src/crocusward/devtools/fault_soak/_daemons.py
@@ -135,9 +135,23 @@
         self.paused = False
 
     def reload(self) -> None:
-        """Tell the process that its settings changed."""
+        """Tell the process that its settings changed.
+
+        The signal ends an interpreter that has not begun to run the program, which no
+        program can prevent; such a process reads the new settings anyway.
+        """
         self._settings.touch()
-        self._signal(signal.SIGHUP)
+        if self._handles_reload():
+            self._signal(signal.SIGHUP)
+
+    def _handles_reload(self) -> bool:
+        """Return whether the process ignores or catches the signal by now."""
+        if self._process is None or not self.is_running:
+            return False
+        status = Path(f"/proc/{self._process.pid}/status").read_text(encoding="ascii")
+        masks = dict(line.split(":", 1) for line in status.splitlines())
+        bit = 1 << (signal.SIGHUP - 1)
+        return any(int(masks[name], 16) & bit for name in ("SigIgn", "SigCgt"))
 
     def stop(self) -> None:
         """Ask the process to stop as planned."""
--- a/tests/test_entryd.py
+++ b/tests/test_entryd.py
@@ -5,7 +5,11 @@
 import io
 import os
 import random
+import signal
+import subprocess
+import sys
 import tempfile
+import time
 import unittest
 from pathlib import Path
 from unittest import mock
@@ -23,6 +27,8 @@
 from crocusward.platform import HistoryLostError
 from crocusward.timing import LoopTimer
 
+ROOT = Path(__file__).resolve().parent.parent
+
 
 class StartTest(unittest.TestCase):
     def start(self, environ):
@@ -52,6 +58,30 @@
         self.assertNotIn("Traceback", text)
 
 
+class EarlySignalTest(unittest.TestCase):
+    def test_settings_signal_during_the_start_does_not_end_the_daemon(self):
+        """Guards against a daemon that dies of SIGHUP while it is still loading."""
+        with tempfile.TemporaryDirectory() as name:
+            environ = {"CROCUSWARD_BOOT": name, "PATH": os.environ["PATH"]}
+            process = subprocess.Popen(
+                [sys.executable, str(ROOT / "deploy" / "run.py")],
+                env=environ,
+                stderr=subprocess.PIPE,
+            )
+            with process:
+                while process.poll() is None and not is_loading(process.pid):
+                    time.sleep(0.001)
+                process.send_signal(signal.SIGHUP)
+                process.communicate()
+        # The settings name a directory, which the daemon reports after loading.
+        self.assertEqual(process.returncode, 2)
+
+
+def is_loading(pid):
+    """Return whether a process has begun to load the daemon's modules."""
+    return "asyncio" in Path(f"/proc/{pid}/maps").read_text(encoding="ascii")
+
+
 class ScriptedStore:
     """Answers reads from a script; the last entry is repeated."""
 
