Read and introduce once for each data centre, try a lost store by rank

Change: at the first start of the fleet one host of each data centre reads and the others take its rows; a Hello tells how many hosts its sender knows, and only who lacks one gets the list; while the store is lost, hosts try it the less often the later their rank. One type says what a host is, in place of three. A cold server gets the rate that the bounds allow.

--- a/src/crocusward/desired/_types.py
+++ b/src/crocusward/desired/_types.py
@@ -91,6 +91,7 @@
         control: Address and port for other daemons, or None.
         peer_ports: First and last port free for traffic between daemons.
         seeds: Control addresses of some hosts; may be out of date.
+        is_first_start: Whether the whole fleet starts for the first time.
         store: Address and port of the platform's store.
         heartbeat_s: Period at which backend servers renew their entries.
         limits: Resources of the host.
@@ -108,6 +109,7 @@
         "control",
         "peer_ports",
         "seeds",
+        "is_first_start",
         "store",
         "heartbeat_s",
         "limits",
@@ -127,6 +129,7 @@
         control: tuple[str, int] | None,
         peer_ports: tuple[int, int],
         seeds: Sequence[tuple[str, int]],
+        is_first_start: bool,
         store: tuple[str, int],
         heartbeat_s: float,
         limits: HostLimits,
@@ -142,12 +145,30 @@
         self.control = control
         self.peer_ports = peer_ports
         self.seeds = list(seeds)
+        self.is_first_start = is_first_start
         self.store = store
         self.heartbeat_s = heartbeat_s
         self.limits = limits
         self.bounds = bounds
 
 
+class KnownHost(Record):
+    """An entry host with its daemon.
+
+    Attributes:
+        host: Name of the host.
+        address: IP address of the host.
+        data_centre: Data centre of the host.
+    """
+
+    __slots__ = ("host", "address", "data_centre")
+
+    def __init__(self, host: str, address: str, data_centre: str) -> None:
+        self.host = host
+        self.address = address
+        self.data_centre = data_centre
+
+
 class WeightedService(Record):
     """A part of a split route.
 
--- a/src/crocusward/entryd/_asks.py
+++ b/src/crocusward/entryd/_asks.py
@@ -4,9 +4,9 @@
 import random
 from collections.abc import Awaitable, Callable, Sequence
 
+from ..desired import KnownHost
 from ..logs import EventSampler
 from ..neighbours import (
-    KnownHost,
     NeighbourEndpoint,
     PlaceAsk,
     PlaceDone,
--- a/src/crocusward/entryd/_hub.py
+++ b/src/crocusward/entryd/_hub.py
@@ -4,13 +4,12 @@
 import random
 from collections.abc import Awaitable, Callable
 
-from ..desired import HostFacts
+from ..desired import HostFacts, KnownHost
 from ..logs import EventSampler, log_event
 from ..neighbours import (
     Hello,
     HostReport,
     Introduction,
-    KnownHost,
     LoadDigest,
     Message,
     NeighbourEndpoint,
@@ -21,7 +20,6 @@
     Sighting,
 )
 from ..placing import BackendLoad, Choice, LoadBook, PlaceRequest
-from ..platform import ListedDaemon
 from ..relay import KeptPlace
 from ..timing import Subscription, TimerService
 from ._asks import PlaceAsks
@@ -157,6 +155,15 @@
             sub.cancel()
         self._endpoint.close()
 
+    @property
+    def rank(self) -> int:
+        """Number of known hosts of the data centre that go before this one."""
+        own = self._facts
+        return sum(
+            host.data_centre == own.data_centre and host.host < own.name
+            for host in self._hosts.values()
+        )
+
     @property
     def fleet_size(self) -> int:
         """Number of hosts that are known, this one included."""
@@ -165,8 +172,7 @@
     # Hosts.
 
     def _hello(self) -> Hello:
-        facts = self._facts
-        return Hello(facts.name, facts.address, facts.data_centre)
+        return Hello(self._hosts[self._facts.name], len(self._hosts))
 
     def _greet_seeds(self) -> None:
         if self._hello_left <= 0:
@@ -176,10 +182,10 @@
         addresses.discard(self._facts.address)
         self._endpoint.send(self._hello(), addresses)
 
-    def take_hosts(self, hosts: list[ListedDaemon]) -> None:
+    def take_hosts(self, hosts: list[KnownHost]) -> None:
         """Add hosts that are registered in the store."""
         for item in hosts:
-            self._add(KnownHost(item.name, item.address, item.data_centre))
+            self._add(item)
 
     def _add(self, host: KnownHost) -> None:
         if host.host == self._facts.name:
@@ -227,9 +233,12 @@
         if isinstance(message, HostReport):
             self._take_report(message, sender)
         elif isinstance(message, Hello):
-            self._add(KnownHost(message.host, sender, message.data_centre))
-            hosts = list(self._hosts.values())
-            self._endpoint.send(Introduction(hosts), [sender])
+            message.host.address = sender
+            self._add(message.host)
+            if message.known < len(self._hosts):
+                # The list is long; only those who lack a host get it.
+                hosts = list(self._hosts.values())
+                self._endpoint.send(Introduction(hosts), [sender])
         elif isinstance(message, LoadDigest):
             self._book.take_idle(message.data_centre, message.idle)
             self._digests[message.data_centre] = message
--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Any
 
-from ..desired import CallerLimits, Directory, HostFacts, RowChange
+from ..desired import CallerLimits, Directory, HostFacts, KnownHost, RowChange
 from ..errors import ConflictError, CrocusError
 from ..invariants import Invariants, Violation
 from ..logs import EventSampler, Level, LogPipe, log_event
@@ -21,7 +21,6 @@
     TABLE_BACKENDS,
     TABLE_HOSTS,
     TABLES,
-    ListedDaemon,
     RowClient,
     apply_change,
     decode_daemon,
@@ -52,6 +51,10 @@
 BACKEND_IDLE_S = 8.0  # servers that tell no idle time close after about 10 s
 BACKEND_CONNECT_S = 0.3  # the slowest path of a deployment takes 12 ms one way
 STORE_CONNECTIONS = 8
+# At the first start of the fleet hosts learn of each other for this long, and the
+# others of a data centre wait for the rows of the first this long.
+FIRST_LISTEN_S = 1.5
+FIRST_WAIT_S = 3.0
 NOTICE_S = 2.6  # the platform asks once a second and acts on the second refusal
 STOP_MARGIN_S = 0.3  # before the end of the grace time
 IDLE_CLOSE_SHARE = 0.7  # of the grace time, after which unused connections close
@@ -113,6 +116,7 @@
         self._rng = random.Random()
         self.timer = LoopTimer(loop, self._rng)
         self._stop = asyncio.Event()
+        self._began_s = self.timer.now()
         self._leaving = False
         self._tasks: list[asyncio.Task[None]] = []
         self.sampler = EventSampler(self.timer.now, LOG_LINES_PER_S)
@@ -161,18 +165,19 @@
             bounds.retry_ratio, bounds.retry_reserve, bounds.retry_window_s
         )
         link = BackendLink(self._backend_pool)
-        placer = Placer(
+        self.placer = Placer(
             self.directory,
             self.book,
             times,
             facts.region,
             self._rng,
         )
+        self.placer.cold_rate_factor = bounds.cold_rate_factor
         self.places = PlaceFinder(
             self.timer,
             self.directory,
             self.book,
-            placer,
+            self.placer,
             self.hub,
             self.sampler,
             PaceProber(self.timer, self.directory, times, link),
@@ -183,7 +188,7 @@
             self.directory,
             self.book,
             times,
-            placer,
+            self.placer,
             self.places,
             self.retries,
             link,
@@ -214,6 +219,8 @@
             self.store,
             self._read_times,
             self._is_reader,
+            self._reads_first,
+            lambda: self.hub.rank,
             self._on_change,
             self._on_version,
         )
@@ -259,6 +266,19 @@
             return False
         return self.peers.is_reader(now_s, self._answered_s())
 
+    def _reads_first(self) -> bool:
+        """Return whether this host reads tables of which it has no copy.
+
+        When the whole fleet starts there is time, so that one host of each data
+        centre reads and hands the rows on.
+        """
+        if not self.facts.is_first_start:
+            return True
+        age_s = self.timer.now() - self._began_s
+        if age_s < FIRST_LISTEN_S:
+            return False
+        return age_s > FIRST_WAIT_S or self.hub.rank == 0
+
     def _versions(self) -> dict[str, int]:
         return {name: item.copy.version for name, item in self.followers.items()}
 
@@ -324,8 +344,10 @@
     async def _register(self) -> None:
         """Register this host in the store and learn of the others."""
         facts = self.facts
-        own = ListedDaemon(facts.name, facts.address, facts.data_centre)
+        own = KnownHost(facts.name, facts.address, facts.data_centre)
         is_written = False
+        if facts.is_first_start:
+            await self.timer.sleep(FIRST_LISTEN_S)
         while True:
             try:
                 if not is_written:
@@ -333,6 +355,8 @@
                         TABLE_HOSTS, facts.name, encode_daemon(own), READ_TIMEOUT_S
                     )
                     is_written = True
+                if facts.is_first_start and self.hub.fleet_size > 1:
+                    return  # the seeds tell who starts beside this host
                 page = await self.store.read_table(TABLE_HOSTS, READ_TIMEOUT_S)
             except ConflictError as exc:
                 raise AssertionError("a write without a condition conflicts") from exc
@@ -391,6 +415,7 @@
             return
         self._last_read = facts
         self.facts = facts
+        self.placer.cold_rate_factor = facts.bounds.cold_rate_factor
         self.retries.set_bounds(
             facts.bounds.retry_ratio,
             facts.bounds.retry_reserve,
--- a/src/crocusward/entryd/_reader.py
+++ b/src/crocusward/entryd/_reader.py
@@ -18,7 +18,8 @@
 READ_TIMEOUT_S = 1.5
 TICK_S = 0.1  # period of the check who reads
 BACKOFF_FIRST_S = 0.1
-BACKOFF_MAX_S = 1.0
+BACKOFF_MAX_S = 1.0  # of the first host of a data centre
+BACKOFF_LAST_S = 6.0  # of any host; each must find the store again by itself
 OUTAGE_S = 1.0  # failures for this long are an outage in which entries may lapse
 # Entries that lapsed in an outage are back within about 2 s of its end.
 LAPSE_HOLD_S = 2.3
@@ -37,6 +38,8 @@
         client: Calls the store.
         times: Times of the reads.
         is_reader: Tells whether this host reads the store.
+        reads_first: Tells whether this host reads a table of which it has no copy.
+        rank: Tells how many hosts of the data centre go before this one.
         on_change: Called with each changed row.
         on_version: Called after the version of the copy has grown.
 
@@ -53,6 +56,8 @@
         "_client",
         "_times",
         "_is_reader",
+        "_reads_first",
+        "_rank",
         "_on_change",
         "_on_version",
         "_failures",
@@ -70,6 +75,8 @@
         client: RowClient,
         times: ReadTimes,
         is_reader: Callable[[], bool],
+        reads_first: Callable[[], bool],
+        rank: Callable[[], int],
         on_change: Callable[[str, RowChange], None],
         on_version: Callable[[], None],
     ) -> None:
@@ -80,6 +87,8 @@
         self._client = client
         self._times = times
         self._is_reader = is_reader
+        self._reads_first = reads_first
+        self._rank = rank
         self._on_change = on_change
         self._on_version = on_version
         self._failures = 0
@@ -106,7 +115,10 @@
 
     async def _step(self) -> None:
         copy = self.copy
-        is_reader = copy.version < 0 or self._is_reader()
+        if copy.version < 0:
+            is_reader = self._reads_first()
+        else:
+            is_reader = self._is_reader()
         if is_reader != self._was_reader:
             self._was_reader = is_reader
             log_event("reader_role", table=copy.name, reads_store=is_reader)
@@ -155,7 +167,10 @@
                 "store_lost", Level.WARNING, table=self.copy.name, reason=str(exc)
             )
         self._failures += 1
-        pause_s = min(BACKOFF_MAX_S, BACKOFF_FIRST_S * 2.0 ** min(self._failures, 6))
+        # Hosts at the end try less often, so that an outage brings few calls however
+        # many hosts there are.
+        most_s = min(BACKOFF_MAX_S * (1 + self._rank()), BACKOFF_LAST_S)
+        pause_s = min(most_s, BACKOFF_FIRST_S * 2.0 ** min(self._failures, 6))
         await self._timer.sleep(pause_s * (0.5 + 0.5 * self._rng.random()))
 
     def take_page(self, page: TablePage) -> None:
--- a/src/crocusward/neighbours/_codec.py
+++ b/src/crocusward/neighbours/_codec.py
@@ -4,12 +4,12 @@
 
 import cbor2
 
+from ..desired import KnownHost
 from ..errors import CrocusError
 from ._messages import (
     Hello,
     HostReport,
     Introduction,
-    KnownHost,
     LoadDigest,
     PlaceAsk,
     PlaceDone,
@@ -43,7 +43,7 @@
     if isinstance(message, HostReport):
         return cbor2.dumps(_report_fields(message))
     if isinstance(message, Hello):
-        return cbor2.dumps([HELLO, message.host, message.address, message.data_centre])
+        return cbor2.dumps([HELLO, *_host_fields(message.host), message.known])
     if isinstance(message, PlaceAsk):
         return cbor2.dumps(
             [
@@ -64,10 +64,14 @@
         return cbor2.dumps(
             [OFFER, message.token, message.backend, message.pace, message.in_flight]
         )
-    hosts = [[item.host, item.address, item.data_centre] for item in message.hosts]
+    hosts = [_host_fields(item) for item in message.hosts]
     return cbor2.dumps([INTRODUCTION, hosts])
 
 
+def _host_fields(item: KnownHost) -> list[str]:
+    return [item.host, item.address, item.data_centre]
+
+
 def _report_fields(msg: HostReport) -> list[Any]:
     sightings = [
         [s.backend, int(s.kind), s.running, s.waiting, s.pace, s.cold_left_s]
@@ -102,7 +106,7 @@
         if kind == REPORT:
             return _decode_report(fields)
         if kind == HELLO:
-            return Hello(*_texts(fields[1:4]))
+            return Hello(KnownHost(*_texts(fields[1:4])), int(fields[4]))
         if kind == ASK:
             _, token, service, route, work_ms, shared, wait_ms = fields
             _texts([service, route, ""])
--- a/src/crocusward/neighbours/_messages.py
+++ b/src/crocusward/neighbours/_messages.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping, Sequence
 from enum import IntEnum
 
+from ..desired import KnownHost
 from ..model import Record
 
 
@@ -130,34 +131,15 @@
     """Announces a daemon and asks for the hosts that the receiver knows.
 
     Attributes:
-        host: Name of the host.
-        address: IP address of the host.
-        data_centre: Data centre of the host.
-    """
-
-    __slots__ = ("host", "address", "data_centre")
-
-    def __init__(self, host: str, address: str, data_centre: str) -> None:
-        self.host = host
-        self.address = address
-        self.data_centre = data_centre
-
-
-class KnownHost(Record):
-    """A host that a daemon knows.
-
-    Attributes:
-        host: Name of the host.
-        address: IP address of the host.
-        data_centre: Data centre of the host.
+        host: The host of the daemon.
+        known: Number of hosts that the sender knows.
     """
 
-    __slots__ = ("host", "address", "data_centre")
+    __slots__ = ("host", "known")
 
-    def __init__(self, host: str, address: str, data_centre: str) -> None:
+    def __init__(self, host: KnownHost, known: int) -> None:
         self.host = host
-        self.address = address
-        self.data_centre = data_centre
+        self.known = known
 
 
 class PlaceAsk(Record):
--- a/src/crocusward/placing/_placer.py
+++ b/src/crocusward/placing/_placer.py
@@ -129,9 +129,12 @@
         times: Learned times of work.
         region: Region of this host.
         rng: Breaks ties.
+
+    Attributes:
+        cold_rate_factor: Multiple of its cold rate that a cold server bears.
     """
 
-    __slots__ = ("_directory", "_book", "_times", "_region", "_rng")
+    __slots__ = ("cold_rate_factor", "_directory", "_book", "_times", "_region", "_rng")
 
     def __init__(
         self,
@@ -141,6 +144,7 @@
         region: str,
         rng: random.Random,
     ) -> None:
+        self.cold_rate_factor = 1.0
         self._directory = directory
         self._book = book
         self._times = times
@@ -370,7 +374,7 @@
             return True
         sends = load.sends_last_second(now_s)
         if load.group == self._book.groups.own:
-            return sends < max(1, int(rule.cold_rate))
+            return sends < max(1, int(rule.cold_rate * self.cold_rate_factor))
         return sends == 0 and load.own == 0
 
     def _rate(
--- a/src/crocusward/platform/__init__.py
+++ b/src/crocusward/platform/__init__.py
@@ -1,6 +1,6 @@
 """Interfaces to the platform and its names, formats and calls."""
 
-from ._changes import ListedDaemon, apply_change, decode_daemon, encode_daemon
+from ._changes import apply_change, decode_daemon, encode_daemon
 from ._clients import (
     HOST_LISTS,
     OBJECT_STORES,
@@ -54,7 +54,6 @@
     "TABLE_OPERATOR",
     "TABLES",
     "TIME_LEFT",
-    "ListedDaemon",
     "apply_change",
     "decode_daemon",
     "encode_daemon",
--- a/src/crocusward/platform/_changes.py
+++ b/src/crocusward/platform/_changes.py
@@ -2,30 +2,13 @@
 
 import cbor2
 
-from ..desired import Directory, RowChange
+from ..desired import Directory, KnownHost, RowChange
 from ..errors import FindingsError
 from ..logs import Level, log_event
 from ._documents import decode_backend, decode_desired_state
 from ._words import KEY_DESIRED_STATE, KEY_OUT_PREFIX, TABLE_BACKENDS, TABLE_OPERATOR
 
 
-class ListedDaemon:
-    """A daemon as it registered itself.
-
-    Attributes:
-        name: Name of its host.
-        address: IP address of its host.
-        data_centre: Data centre of its host.
-    """
-
-    __slots__ = ("name", "address", "data_centre")
-
-    def __init__(self, name: str, address: str, data_centre: str) -> None:
-        self.name = name
-        self.address = address
-        self.data_centre = data_centre
-
-
 def apply_change(
     directory: Directory, table: str, change: RowChange, *, is_first: bool = False
 ) -> None:
@@ -93,12 +76,12 @@
             )
 
 
-def encode_daemon(daemon: ListedDaemon) -> bytes:
+def encode_daemon(daemon: KnownHost) -> bytes:
     """Return the row by which a daemon registers itself."""
     return cbor2.dumps([daemon.address, daemon.data_centre])
 
 
-def decode_daemon(change: RowChange) -> ListedDaemon | None:
+def decode_daemon(change: RowChange) -> KnownHost | None:
     """Return the daemon of a row, or None if the row cannot be read."""
     try:
         address, data_centre = cbor2.loads(change.value or b"")
@@ -107,4 +90,4 @@
         return None
     if not isinstance(address, str) or not isinstance(data_centre, str):
         return None
-    return ListedDaemon(change.key, address, data_centre)
+    return KnownHost(change.key, address, data_centre)
--- a/src/crocusward/platform/_host_file.py
+++ b/src/crocusward/platform/_host_file.py
@@ -42,6 +42,7 @@
         control=listen.address("control") if listen.has("control") else None,
         peer_ports=_decode_ports(top),
         seeds=_decode_seeds(top),
+        is_first_start=top.raw("bootstrap") is True,
         store=top.table("platform").address("address"),
         heartbeat_s=top.duration("heartbeat", 1.5),
         limits=_decode_limits(top.table("limits")),
--- a/tests/test_entryd.py
+++ b/tests/test_entryd.py
@@ -113,7 +113,7 @@
 
 
 class FollowerTest(unittest.IsolatedAsyncioTestCase):
-    def follower(self, store, is_reader=True):
+    def follower(self, store, is_reader=True, rank=0, reads_first=True):
         self.changes = []
         timer = LoopTimer(asyncio.get_running_loop(), random.Random(1))
         return TableFollower(
@@ -123,6 +123,8 @@
             store,
             ReadTimes(2.0),
             lambda: is_reader,
+            lambda: reads_first,
+            lambda: rank,
             lambda table, change: self.changes.append((change.key, change.value)),
             lambda: None,
         )
@@ -179,6 +181,35 @@
         await self.steps(follower, 3)
         self.assertIn(("a", None), self.changes)
 
+    async def test_host_without_rows_leaves_the_first_read_to_another(self):
+        """Guards against reads by every host when the whole fleet starts."""
+        store = ScriptedStore(FIRST)
+        follower = self.follower(store, reads_first=False)
+        await self.steps(follower, 1)
+        self.assertEqual(store.calls, [])
+        follower.take_page(FIRST)
+        await self.steps(follower, 1)
+        self.assertEqual(store.calls, ["changes after 5"])
+
+    async def test_last_hosts_try_a_lost_store_less_often(self):
+        """Guards against calls of every host while the store is down."""
+        pauses = []
+
+        async def sleep(delay_s):
+            pauses.append(delay_s)
+
+        for rank in (0, 30):
+            pauses.clear()
+            store = ScriptedStore(FIRST, StoreUnavailableError("down"))
+            follower = self.follower(store, rank=rank)
+            with mock.patch.object(LoopTimer, "sleep", side_effect=sleep):
+                await self.steps(follower, 21)
+            self.assertLessEqual(max(pauses), 6.0)
+            if rank:
+                self.assertGreater(sum(pauses), 40.0)
+            else:
+                self.assertLessEqual(max(pauses), 1.0)
+
     async def test_host_that_does_not_read_makes_no_call(self):
         """Guards against every host calling the store."""
         store = ScriptedStore(FIRST)
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -4,11 +4,11 @@
 
 import cbor2
 
+from crocusward.desired import KnownHost
 from crocusward.neighbours import (
     Hello,
     HostReport,
     Introduction,
-    KnownHost,
     MessageError,
     NeighbourTable,
     ReadTimes,
@@ -38,7 +38,7 @@
         seen = [Sighting("b1", SightingKind.FAILED, 2, 1, 5.0, 0.5)]
         messages = [
             report("h1", in_flight={"b1": 2}, sightings=seen, complete=True),
-            Hello("h1", "10.0.0.1", "east-a"),
+            Hello(KnownHost("h1", "10.0.0.1", "east-a"), 3),
             Introduction([KnownHost("h1", "10.0.0.1", "east-a")]),
         ]
         for message in messages:
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -271,6 +271,14 @@
         bench.now_s += 1.01
         self.assertIs(bench.choose(may_wait=False).load, load)
 
+    def test_bound_of_the_fleet_widens_the_rate(self):
+        """Guards against cold servers that idle below what the operators allow."""
+        bench = Bench(backend("b1", cold_left_s=3.0, slots=50))
+        bench.placer.cold_rate_factor = 1.5
+        for _ in range(4):
+            bench.choose(may_wait=False).load.begin(bench.now_s)
+        self.assertIsNone(bench.choose(may_wait=False).load)
+
     def test_sends_of_neighbours_count(self):
         """Guards against each host giving a cold server its full rate."""
         bench = Bench(backend("b1", cold_left_s=3.0, slots=50))
