Ask more groups and another region before a refusal, give unused places back

Change: a request that must leave its group asks up to three groups for an idle server before it asks for a wait; one that would be refused asks another region once; a late offer, and one for a server that is not known here, is given back at once; a place is kept no longer than the route's timeout; a new server gets its first request before its cold time is over; cold and slow servers count less in the expected wait.

--- a/src/crocusward/entryd/_asks.py
+++ b/src/crocusward/entryd/_asks.py
@@ -17,7 +17,7 @@
 from ..timing import TimerService
 
 ASK_FIRST_S = 0.1  # until the time of an answer is known
-ASK_MARGIN_S = 0.02  # for a busy host
+ASK_MARGIN_S = 0.06  # for a busy host, and for its probes before it answers
 ASK_FACTOR = 1.5  # times the usual time of an answer
 ASK_PAUSE_S = 2.0  # for which a host that did not answer is not asked
 ASK_GAIN = 0.1  # weight of the newest answer in the usual time
@@ -142,6 +142,9 @@
             fut = self._asked.get(message.token)
             if fut is not None and not fut.done():
                 fut.set_result(message)
+            elif message.backend != FULL:
+                # Nobody waits for it any more; the place there would stay taken.
+                self._endpoint.send(PlaceDone(message.token), [sender])
         else:
             task = asyncio.get_running_loop().create_task(self._answer(message, sender))
             self._answering.add(task)
--- a/src/crocusward/placing/_placer.py
+++ b/src/crocusward/placing/_placer.py
@@ -18,7 +18,8 @@
 OTHER_REGION = 1.2
 SAMPLED = 48  # servers outside the group that are looked at for one request
 CONNECT_S = 0.004  # cost of a new connection: a handshake at the server, and its price
-IDLE_ELSEWHERE = 0.3  # share of idle servers from which another data centre has room
+FAR_TRIP_S = 0.06  # a question and an exchange between regions
+IDLE_ELSEWHERE = 0.15  # share of idle servers from which another data centre has room
 IDLE_NEAR = 0.1  # the same for another group of the data centre, asked at little cost
 # Share of failing servers above which their failures say nothing of a single one, and
 # closing them would only move their load to the rest.
@@ -106,13 +107,17 @@
         self.rate = 0.0
         self.candidates: list[_Candidate] = []
 
-    def count(self, slots: int, in_flight: float, is_own: bool) -> None:
+    def count(
+        self, load: BackendLoad, in_flight: float, is_own: bool, now_s: float
+    ) -> None:
         """Count a usable server."""
         self.usable += 1
         self.idle += in_flight < 1.0
         if is_own:
             self.near_by += 1
-            self.rate += slots / self.sharing
+            cold = COLD_FACTOR if load.is_cold(now_s) else 1.0
+            slower = self.sharing * cold * max(1.0, load.slowness(now_s))
+            self.rate += load.entry.slots / slower
 
 
 class Placer:
@@ -161,6 +166,24 @@
             and (not route.regions or load.region in route.regions)
         )
 
+    def far_server(self, req: PlaceRequest, now_s: float) -> BackendLoad | None:
+        """Return a server of another region that may run a request, or None.
+
+        The link between regions is narrow and billed by volume, so that it is for
+        requests that would be refused otherwise and can still be answered in time.
+        """
+        if now_s + req.work_s + FAR_TRIP_S > req.deadline_s:
+            return None
+        loads = self._book.by_service.get(req.service, [])
+        far = [
+            load
+            for load in loads
+            if load.region != self._region
+            and self.is_allowed(load, req.route)
+            and self._is_open(load, req, now_s, False)
+        ]
+        return self._rng.choice(far) if far else None
+
     def choose(
         self,
         req: PlaceRequest,
@@ -226,7 +249,7 @@
             count = load.in_flight(now_s)
             if not is_own:
                 count = max(count, self._least_count(load, now_s))
-            survey.count(entry.slots, count, is_own)
+            survey.count(load, count, is_own, now_s)
             if load.group in avoid or count + 1.0 > entry.slots:
                 continue
             if not self._bears(load, rule, now_s):
@@ -398,6 +421,9 @@
         extra_s = self._extra_s(load, req, count, survey.sharing, now_s)
         found = _Candidate(load, count, time_s, time_s + extra_s)
         good_s = base_s * survey.good_pace * cold
+        if not load.tried:
+            # A new server is cold and its pace unknown; it gets a first request soon.
+            found.score_s = req.work_s * survey.good_pace - UNTRIED_BONUS_S
         found.best_s = good_s + extra_s
         found.lost_s = time_s - good_s
         found.is_stale = (
@@ -426,9 +452,7 @@
                 extra_s += req.work_s * OTHER_DATA_CENTRE
             else:
                 extra_s += req.work_s * OTHER_GROUP
-        if not load.tried:
-            extra_s -= UNTRIED_BONUS_S
-        elif not load.idle_connections:
+        if not load.idle_connections:
             extra_s += CONNECT_S
         if count >= 1.0:
             # The requests already there become slower, too.
--- a/src/crocusward/relay/_places.py
+++ b/src/crocusward/relay/_places.py
@@ -17,6 +17,7 @@
     QueuedRequest,
     Refused,
     RequestQueue,
+    Verdict,
 )
 from ..timing import TimerService
 from ._probing import MAX_ROUNDS, PaceProber
@@ -25,6 +26,7 @@
 RETRY_S = 0.2  # after which a full data centre may have room
 KEEP_FACTOR = 3.0  # times the expected time for which a place of another host counts
 MIN_SEND_S = 0.01  # less time at a server is no use
+MAX_ASKS = 3  # groups that are asked before the request waits, or waits there
 FULL = ""  # answer of a data centre that has no room
 
 
@@ -144,6 +146,17 @@
         Raises:
             Refused: No server can answer in time.
         """
+        try:
+            return await self._find_near(place)
+        except Refused as exc:
+            found = await self._ask_far(place)
+            if found is None:
+                raise
+            self._sampler.log("request_sent_far", id=place.id, instead_of=exc.code)
+            return found
+
+    async def _find_near(self, place: PlaceRequest) -> Choice:
+        """Return a place here, or in the other groups that may be asked."""
         full: set[str] = set()
         is_patient = True
         while True:
@@ -153,25 +166,25 @@
             queue = self._queues.setdefault(place.service, RequestQueue())
             choice = await self._choose(place, queue, is_patient, full)
             load = choice.load
-            if load is None:
-                if await self._wait(place, queue, choice, not is_patient):
-                    return choice
-                if not choice.awaits_pace:
-                    is_patient = False
-                    full.clear()
-            elif load.group == self._book.groups.own:
+            if load is not None and load.group == self._book.groups.own:
                 return choice
-            else:
+            if load is not None and len(full) < MAX_ASKS:
                 found = await self._ask(place, choice, is_patient)
                 if found is not None:
                     return found
-                if choice.near_by:
-                    full.add(load.group)
-                elif is_patient:
-                    # The next question accepts a shared server and a longer wait.
-                    is_patient = False
-                else:
+                full.add(load.group)
+            elif full and not choice.near_by:
+                if not is_patient:
                     raise Refused("no room elsewhere", RETRY_S, code="no_room")
+                # The next questions accept a shared server and a wait.
+                is_patient = False
+                full.clear()
+            else:
+                if await self._wait(place, queue, choice, not is_patient):
+                    return choice
+                if not choice.awaits_pace:
+                    is_patient = False
+                    full.clear()
 
     async def _choose(
         self,
@@ -181,9 +194,10 @@
         avoid: Collection[str] = (),
         *,
         own_group: bool = False,
+        rounds: int = MAX_ROUNDS,
     ) -> Choice:
         """Decide on a request by the present pace of the servers in question."""
-        for rounds_left in range(MAX_ROUNDS, -1, -1):
+        for rounds_left in range(rounds, -1, -1):
             now_s = self._timer.now()
             choice = self._placer.choose(
                 place,
@@ -220,30 +234,52 @@
         """Ask for a place in the data centre of a choice; None if it has none.
 
         A request with servers here takes only an idle server there, at once. One that
-        must leave waits there, in the order of that data centre.
+        must leave looks for an idle one first, then waits there, in the order of that
+        data centre.
         """
         assert choice.load is not None
         wait_s = 0.0
-        if not choice.near_by:
-            left_s = place.deadline_s - self._timer.now() - place.work_s
-            wait_s = min(choice.patience_s, left_s) if is_patient else left_s
         shared = not is_patient and not choice.near_by
+        if shared:
+            wait_s = place.deadline_s - self._timer.now() - place.work_s
         group = choice.load.group
         kept = await self._announcer.ask(place, group, shared, max(0.0, wait_s))
         if kept is None:
             return await self._take_unasked(place, choice)
-        found = self._book.loads.get(kept.backend)
-        if found is None or kept.backend in place.excluded:
+        return choice if self._take_kept(place, choice, kept) else None
+
+    async def _ask_far(self, place: PlaceRequest) -> Choice | None:
+        """Ask another region for a request that would be refused here."""
+        load = self._placer.far_server(place, self._timer.now())
+        if load is None:
+            return None
+        kept = await self._announcer.ask(place, load.group, True, 0.0)
+        choice = Choice(Verdict.PLACE, load)
+        if kept is None or not self._take_kept(place, choice, kept):
             return None
-        if self._placer.is_allowed(found, place.route):
-            choice.load = found
-            choice.in_flight = float(kept.in_flight)
-            choice.is_paced = kept.pace > 0.0
-            choice.pace = kept.pace or choice.pace
-            choice.expected_s = place.work_s * choice.pace
-            choice.release = lambda: self._announcer.release(kept)
         return choice
 
+    def _take_kept(self, place: PlaceRequest, choice: Choice, kept: KeptPlace) -> bool:
+        """Use a place that another group keeps; return False if it is no use."""
+        if kept.backend == FULL:
+            return False
+        load = self._book.loads.get(kept.backend)
+        is_usable = (
+            load is not None
+            and kept.backend not in place.excluded
+            and self._placer.is_allowed(load, place.route)
+        )
+        if load is None or not is_usable:
+            self._announcer.release(kept)
+            return False
+        choice.load = load
+        choice.in_flight = float(kept.in_flight)
+        choice.is_paced = kept.pace > 0.0
+        choice.pace = kept.pace or choice.pace
+        choice.expected_s = place.work_s * choice.pace
+        choice.release = lambda: self._announcer.release(kept)
+        return True
+
     async def _take_unasked(self, place: PlaceRequest, choice: Choice) -> Choice | None:
         """Return a choice of another group that nobody there answered for.
 
@@ -394,7 +430,9 @@
         )
         queue = self._queues.setdefault(service, RequestQueue())
         try:
-            choice = await self._choose(place, queue, not shared, own_group=True)
+            choice = await self._choose(
+                place, queue, not shared, own_group=True, rounds=1
+            )
             is_idle_only = not shared and wait_s <= 0.0
             if choice.load is None or (choice.in_flight >= 1.0 and is_idle_only):
                 choice.load = None
@@ -411,6 +449,7 @@
             load.end(choice.begun_s)
         load.keep_place(now_s)
         kept_s = KEEP_FACTOR * max(work_s, choice.expected_s)
+        kept_s = min(kept_s, route.timeout_s + MIN_SEND_S)
         self._kept[key] = load
         self._timer.call_later(kept_s, lambda: self.end_offer(key))
         self._announcer.announce(load, None)
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -279,6 +279,19 @@
             bench.choose(may_wait=False).load.begin(bench.now_s)
         self.assertIsNone(bench.choose(may_wait=False).load)
 
+    def test_new_server_gets_a_first_request_beside_warm_ones(self):
+        """Guards against servers that join and stay without work."""
+        bench = Bench(backend("b1"), backend("b2"))
+        for _ in range(40):
+            bench.times.observe_pace("svc", 2.0)
+        bench.directory.set_backend("b3", backend("b3", cold_left_s=3.0))
+        for id in ("b1", "b2"):
+            bench.see(id, pace=1.0)
+        first = bench.choose()
+        self.assertEqual(first.load.entry.id, "b3")
+        first.load.begin(bench.now_s)
+        self.assertNotEqual(bench.choose().load.entry.id, "b3")
+
     def test_sends_of_neighbours_count(self):
         """Guards against each host giving a cold server its full rate."""
         bench = Bench(backend("b1", cold_left_s=3.0, slots=50))
