--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -180,7 +180,7 @@
             self.placer,
             self.hub,
             self.sampler,
-            PaceProber(self.timer, self.directory, times, link),
+            PaceProber(self.timer, self.directory, times, link, self.sampler),
         )
         self.request_log = RequestLog(self.timer.now, self.directory, self.sampler)
         self.relay = Relay(
--- a/src/crocusward/placing/__init__.py
+++ b/src/crocusward/placing/__init__.py
@@ -3,6 +3,7 @@
 Nothing here does I/O; time is passed in.
 """
 
+from . import _second as second_copy
 from ._book import LoadBook
 from ._choice import Choice, PlaceRequest, Refused, Verdict
 from ._groups import Groups, data_centre_of
@@ -28,4 +29,5 @@
     "WeightedSplit",
     "WorkTimes",
     "data_centre_of",
+    "second_copy",
 ]
--- /dev/null
+++ b/src/crocusward/placing/_second.py
@@ -0,0 +1,34 @@
+"""When a late idempotent request is sent to a second backend server."""
+
+from ._choice import Choice, PlaceRequest
+
+LATE_FACTOR = 2.0  # times the expected time after which an answer counts as late
+IN_TIME_WORK = 1.2  # times the work that a second copy needs to meet the objective
+MIN_DELAY_S = 0.03
+LOOK_AGAIN_S = 0.06  # until another look for an idle server
+# Share of idle servers from which a second copy takes no room of other requests; more
+# is asked for a copy that can only be late.
+IDLE_SHARE = 0.2
+LATE_IDLE_SHARE = 0.4
+RESERVE = 2.0  # repeats of the budget that are kept for failures
+
+
+def delay_s(place: PlaceRequest, expected_s: float, now_s: float) -> float:
+    """Return how long to wait for an answer before a second copy is looked for.
+
+    Answers loads in which single servers are silent or slow beside idle ones.
+
+    Args:
+        place: The request.
+        expected_s: Expected time of the first copy.
+        now_s: When it was sent.
+    """
+    in_time_s = place.objective_s - IN_TIME_WORK * place.work_s - now_s
+    late_s = LATE_FACTOR * expected_s
+    return max(MIN_DELAY_S, min(late_s, max(in_time_s, expected_s)))
+
+
+def takes_no_room(choice: Choice, place: PlaceRequest, now_s: float) -> bool:
+    """Return whether enough servers are idle for a second copy."""
+    is_in_time = now_s + place.work_s <= place.objective_s
+    return choice.idle >= (IDLE_SHARE if is_in_time else LATE_IDLE_SHARE)
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -16,6 +16,7 @@
     RetryAllowance,
     WeightedSplit,
     WorkTimes,
+    second_copy,
 )
 from ..timing import TimerService
 from ._caller import DEFAULT_LIMITS
@@ -26,16 +27,6 @@
 
 STOPPING_RETRY_S = 0.05  # other hosts take the caller's next connection
 START_RETRY_S = 0.5  # a daemon without a desired state normally has one by then
-# Times the expected time after which an idempotent request is sent a second time.
-HEDGE_FACTOR = 2.0
-HEDGE_WORK = 1.2  # times the work that a second copy needs to meet the objective
-HEDGE_MIN_S = 0.03
-HEDGE_AGAIN_S = 0.06  # until another look for an idle server
-# Share of idle servers from which a second copy takes no room of other requests; more
-# is asked for a copy that can only be late.
-HEDGE_IDLE = 0.2
-HEDGE_LATE_IDLE = 0.4
-HEDGE_RESERVE = 2.0  # repeats kept for failures
 LOSER_GRACE_S = 0.25  # the slower of two copies may end by itself within this time
 MEMORY_SHARE = 0.25  # of the host's memory may hold request bodies
 MB = 1 << 20
@@ -231,7 +222,7 @@
             if choice is not None:
                 running[self._launch(call, choice)] = choice
                 break
-            hedge_s = HEDGE_AGAIN_S
+            hedge_s = second_copy.LOOK_AGAIN_S
         return done
 
     def _hedge_delay_s(
@@ -241,10 +232,7 @@
         if not route.idempotent or len(running) > 1 or call.runs >= route.max_attempts:
             return None
         (choice,) = running.values()
-        place = call.place
-        in_time_s = place.objective_s - HEDGE_WORK * place.work_s - self._now()
-        late_s = HEDGE_FACTOR * choice.expected_s
-        return max(HEDGE_MIN_S, min(late_s, max(in_time_s, choice.expected_s)))
+        return second_copy.delay_s(call.place, choice.expected_s, self._now())
 
     async def _hedge(
         self, call: Call, running: dict[asyncio.Task[Exchange], Choice]
@@ -256,16 +244,15 @@
             or now_s + MIN_SEND_S > call.place.deadline_s
         ):
             return None
-        if self._retries.left(service, now_s) < 1.0 + HEDGE_RESERVE:
+        if self._retries.left(service, now_s) < 1.0 + second_copy.RESERVE:
             return None
         choice = await self._places.find_second(call.place)
         if choice is None or any(task.done() for task in running):
             return None
         now_s = self._now()
-        is_in_time = now_s + call.place.work_s <= call.place.objective_s
-        if choice.idle < (HEDGE_IDLE if is_in_time else HEDGE_LATE_IDLE):
+        if not second_copy.takes_no_room(choice, call.place, now_s):
             return None
-        if not self._retries.take(service, now_s, HEDGE_RESERVE):
+        if not self._retries.take(service, now_s, second_copy.RESERVE):
             return None
         return choice
 
@@ -331,7 +318,9 @@
             result = task.result()
             seen = result.seen
             self._learn(call, choice, result, begun_s)
+            was_closed = load.is_closed(self._now())
             load.observe(seen, self._now())
+            self._log.backend(call, load, seen, was_closed)
         self._announcer.announce(load, seen)
         self.room_changed(call.place.service)
 
--- a/src/crocusward/relay/_probing.py
+++ b/src/crocusward/relay/_probing.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 
 from ..desired import Directory
+from ..logs import EventSampler
 from ..neighbours import Sighting
 from ..placing import BackendLoad, WorkTimes
 from ..timing import TimerService
@@ -30,6 +31,7 @@
         directory: Health paths of the services.
         times: Usual speed of the services.
         link: Sends the probes.
+        sampler: Logs probes without an answer.
     """
 
     __slots__ = (
@@ -38,6 +40,7 @@
         "_directory",
         "_times",
         "_link",
+        "_sampler",
         "_cost_s",
         "_tasks",
     )
@@ -48,7 +51,9 @@
         directory: Directory,
         times: WorkTimes,
         link: BackendLink,
+        sampler: EventSampler,
     ) -> None:
+        self._sampler = sampler
         self.probes = 0
         self._timer = timer
         self._directory = directory
@@ -120,6 +125,13 @@
         self._cost_s[service] = cost_s + PROBE_GAIN * (now_s - began_s - cost_s)
         if seen is None:
             load.probe_missed_s = now_s
+            self._sampler.log(
+                "backend_probe_missed",
+                backend=load.entry.id,
+                service=service,
+                took_s=now_s - began_s,
+                in_flight=load.in_flight(now_s),
+            )
             return None
         load.observe(seen, now_s)
         self._times.observe_pace(service, seen.pace)
--- a/src/crocusward/relay/_requests.py
+++ b/src/crocusward/relay/_requests.py
@@ -6,7 +6,7 @@
 from ..logs import EventSampler, Level
 from ..metrics import LatencyRecorder
 from ..neighbours import Sighting
-from ..placing import Choice, PlaceRequest
+from ..placing import BackendLoad, Choice, PlaceRequest
 from ._exchange import Exchange
 from ._messages import CallerAnswer, CallerRequest, refusal
 
@@ -84,6 +84,22 @@
             attempt=call.runs,
         )
 
+    def backend(
+        self, call: Call, load: BackendLoad, seen: Sighting, was_closed: bool
+    ) -> None:
+        """Log that a server is closed to requests, or open again."""
+        now_s = self._now()
+        is_closed = load.is_closed(now_s)
+        if is_closed != was_closed:
+            self._sampler.log(
+                "backend_closed" if is_closed else "backend_open",
+                id=call.place.id,
+                backend=load.entry.id,
+                seen=seen.kind.name.lower(),
+                blame=load.blame(now_s),
+                for_s=max(0.0, load.closed_until_s - now_s),
+            )
+
     def refuse_early(
         self,
         req: CallerRequest,
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -6,6 +6,7 @@
 from crocusward.desired import WeightedService
 from crocusward.neighbours import HostReport, Sighting, SightingKind
 from crocusward.placing import (
+    Choice,
     Groups,
     LoadBook,
     Placer,
@@ -17,6 +18,7 @@
     Verdict,
     WeightedSplit,
     WorkTimes,
+    second_copy,
 )
 
 from .entry_support import backend, directory, route
@@ -363,6 +365,23 @@
         self.assertIs(order[-1], late)
 
 
+class SecondCopyTest(unittest.TestCase):
+    """Guards against second copies that come too late or take others' room."""
+
+    def test_looks_before_the_objective_is_lost(self):
+        place = Bench().request(objective_s=100.6, work_s=0.2)
+        self.assertAlmostEqual(second_copy.delay_s(place, 0.2, 100.0), 0.36)
+        late = Bench().request(objective_s=100.1, work_s=0.2)
+        self.assertAlmostEqual(second_copy.delay_s(late, 0.2, 100.0), 0.2)
+
+    def test_needs_more_idle_servers_when_it_can_only_be_late(self):
+        place = Bench().request(objective_s=100.3, work_s=0.2)
+        choice = Choice(Verdict.PLACE, None)
+        choice.idle = 0.3
+        self.assertTrue(second_copy.takes_no_room(choice, place, 100.0))
+        self.assertFalse(second_copy.takes_no_room(choice, place, 100.2))
+
+
 class RetryAllowanceTest(unittest.TestCase):
     def test_sum_over_hosts_stays_within_the_bound(self):
         """Guards against each host spending the whole fleet's budget."""
