Leave cold servers to their group; split the placer, the places and the daemon

Cause, from reading the change: a server of a group whose hosts do not answer was used after a probe also while it was cold. Each host of the other groups counts only its own requests there, so that after the loss of a data centre all of them together could exceed the rate that a cold server bears.

The rating of servers, the kept places and the answers of the control address are modules of their own; code moved without change.

--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -10,14 +10,13 @@
 from pathlib import Path
 from typing import Any
 
-from ..desired import CallerLimits, Directory, HostFacts, KnownHost, RowChange
+from ..desired import Directory, HostFacts, KnownHost, RowChange
 from ..errors import ConflictError, CrocusError
 from ..invariants import Invariants, Violation
 from ..logs import EventSampler, Level, LogPipe, log_event
 from ..neighbours import NeighbourTable, ReadTimes
 from ..placing import Groups, LoadBook, Placer, RetryAllowance, WorkTimes
 from ..platform import (
-    READY_PATH,
     TABLE_BACKENDS,
     TABLE_HOSTS,
     TABLES,
@@ -29,20 +28,17 @@
 )
 from ..relay import (
     BackendLink,
-    CallerAnswer,
-    CallerRequest,
     Listener,
     PaceProber,
     PlaceFinder,
     Relay,
     RequestLog,
-    refusal,
 )
 from ..timing import LoopTimer
 from ..upstream import HttpPool
-from ._exposition import expose
+from ._control import ControlHandler
 from ._hub import NeighbourHub
-from ._reader import READ_TIMEOUT_S, ROWS_PATH, NeighbourRows, TableFollower
+from ._reader import READ_TIMEOUT_S, NeighbourRows, TableFollower
 
 TICK_S = 0.1
 SETTINGS_CHECK_S = 1.0  # the file may change without a signal
@@ -59,43 +55,6 @@
 STOP_MARGIN_S = 0.3  # before the end of the grace time
 IDLE_CLOSE_SHARE = 0.7  # of the grace time, after which unused connections close
 LOG_LINES_PER_S = 20  # of each kind; more are counted
-METRICS_PATH = "/metrics"
-
-
-class _ControlHandler:
-    """Answers the platform's readiness check, neighbours and scrapers."""
-
-    def __init__(self, process: "EntryProcess") -> None:
-        self.limits = CallerLimits(8192, 0, 3.0, 60.0)
-        self._process = process
-
-    def may_overlap(self, req: CallerRequest) -> bool:
-        """Return True; nothing here has an effect."""
-        return True
-
-    def takes_body(self, size: int) -> bool:
-        """Return False; no request here has a body."""
-        return False
-
-    def body_done(self, size: int) -> None:
-        """Do nothing."""
-
-    async def answer(self, req: CallerRequest) -> CallerAnswer:
-        """Answer a request."""
-        path, _, query = req.target.partition("?")
-        if path == READY_PATH:
-            if self._process.is_ready():
-                return CallerAnswer(200, (), b"ready")
-            return refusal(503, "not ready")
-        if path == ROWS_PATH:
-            page = self._process.rows.answer(query)
-            if page is None:
-                return refusal(404, "no such rows")
-            return CallerAnswer(200, (), page)
-        if path == METRICS_PATH:
-            text = expose(self._process)
-            return CallerAnswer(200, [(b"content-type", b"text/plain")], text)
-        return refusal(404, "no such path")
 
 
 class EntryProcess:
@@ -197,7 +156,7 @@
             self.invariants,
             facts.limits.memory_mb,
         )
-        control = _ControlHandler(self)
+        control = ControlHandler(self)
         self.callers = Listener(self.relay, self.timer)
         self._ready = Listener(control, self.timer)
         self._peer_server = Listener(control, self.timer)
--- a/src/crocusward/placing/_placer.py
+++ b/src/crocusward/placing/_placer.py
@@ -8,6 +8,7 @@
 from ._choice import Choice, PlaceRequest, Refused, Verdict
 from ._groups import data_centre_of
 from ._load import PACE_MEMORY_S, BackendLoad
+from ._survey import COLD_FACTOR, Candidate, Survey
 from ._work import WorkTimes
 
 # Cost of leaving the data centre or region, in times of the work. Loads there are not
@@ -31,7 +32,6 @@
 SHORT_WORK = 0.7
 UNTRIED_BONUS_S = 0.02  # new servers get their first request soon
 BLAME_WEIGHT = 3.0  # times the work, for each recent failure
-COLD_FACTOR = 2.0  # work on a cold server takes about twice as long
 SILENT_FACTOR = 2.5  # times the expected time without an answer make a server suspect
 SILENT_MIN_S = 0.1
 SHARED_SHARE = 0.5  # of the work of the request already there is left on average
@@ -42,84 +42,6 @@
 FOREIGN_COLD_PERIOD_S = 2.0  # between requests of another data centre to a cold server
 
 
-class _Candidate:
-    """A server with room, and what a request may expect there.
-
-    Attributes:
-        load: The server.
-        count: Requests there.
-        time_s: Expected time of the request.
-        score_s: The time and the cost of the choice for others.
-        best_s: The same if the machine has a good pace now.
-        lost_s: Time that is lost because of the pace, as far as known.
-        is_stale: Whether its pace may have changed since the last report.
-    """
-
-    __slots__ = ("load", "count", "time_s", "score_s", "best_s", "lost_s", "is_stale")
-
-    def __init__(
-        self, load: BackendLoad, count: float, time_s: float, score_s: float
-    ) -> None:
-        self.load = load
-        self.count = count
-        self.time_s = time_s
-        self.score_s = score_s
-        self.best_s = score_s
-        self.lost_s = 0.0
-        self.is_stale = False
-
-
-class _Survey:
-    """The servers that may run a request.
-
-    Attributes:
-        sharing: How much longer work takes on a server that is shared.
-        pace: Usual pace of the machines.
-        good_pace: Pace that the better machines often have.
-        reports_pace: Whether the servers report the pace of their machines.
-        usable: Servers that may run it, also those that are full.
-        near_by: Those of them in this group.
-        idle: Those of them without a request.
-        rate: Requests that the near ones finish within the time of one.
-        candidates: Servers with room, the best first.
-    """
-
-    __slots__ = (
-        "sharing",
-        "pace",
-        "good_pace",
-        "reports_pace",
-        "usable",
-        "near_by",
-        "idle",
-        "rate",
-        "candidates",
-    )
-
-    def __init__(self, times: WorkTimes, service: str) -> None:
-        self.sharing = times.sharing(service)
-        self.pace = times.usual_pace(service)
-        self.good_pace = times.best_pace(service)
-        self.reports_pace = times.has_pace(service)
-        self.usable = 0
-        self.near_by = 0
-        self.idle = 0
-        self.rate = 0.0
-        self.candidates: list[_Candidate] = []
-
-    def count(
-        self, load: BackendLoad, in_flight: float, is_own: bool, now_s: float
-    ) -> None:
-        """Count a usable server."""
-        self.usable += 1
-        self.idle += in_flight < 1.0
-        if is_own:
-            self.near_by += 1
-            cold = COLD_FACTOR if load.is_cold(now_s) else 1.0
-            slower = self.sharing * cold * max(1.0, load.slowness(now_s))
-            self.rate += load.entry.slots / slower
-
-
 class Placer:
     """Places requests by the expected time until the answer.
 
@@ -229,9 +151,9 @@
         now_s: float,
         own_group: bool,
         avoid: Collection[str],
-    ) -> "_Survey":
+    ) -> Survey:
         """Rate the servers that may run a request."""
-        survey = _Survey(self._times, req.service)
+        survey = Survey(self._times, req.service)
         own = self._book.groups.own
         allowed = self._allowed(self._book.in_group(req.service, own), req)
         if not own_group and not self._has_idle(allowed, req, now_s):
@@ -287,7 +209,7 @@
     def _decide(
         self,
         req: PlaceRequest,
-        survey: "_Survey",
+        survey: Survey,
         now_s: float,
         ahead: int,
         may_wait: bool,
@@ -341,7 +263,7 @@
         return choice
 
     @staticmethod
-    def _worth_probing(survey: "_Survey", best: _Candidate) -> list[BackendLoad]:
+    def _worth_probing(survey: Survey, best: Candidate) -> list[BackendLoad]:
         """Return the servers whose present pace would decide the choice."""
         found = [
             item
@@ -404,10 +326,10 @@
         self,
         load: BackendLoad,
         req: PlaceRequest,
-        survey: "_Survey",
+        survey: Survey,
         count: float,
         now_s: float,
-    ) -> _Candidate:
+    ) -> Candidate:
         """Return what a request may expect at a server with room."""
         base_s = req.work_s * load.slowness(now_s)
         if count + 1.0 >= load.entry.slots and load.entry.slots > 1:
@@ -419,7 +341,7 @@
             # The host that keeps the place there chooses by the present pace.
             time_s = base_s * survey.good_pace * cold
         extra_s = self._extra_s(load, req, count, survey.sharing, now_s)
-        found = _Candidate(load, count, time_s, time_s + extra_s)
+        found = Candidate(load, count, time_s, time_s + extra_s)
         good_s = base_s * survey.good_pace * cold
         if not load.tried:
             # A new server is cold and its pace unknown; it gets a first request soon.
--- a/src/crocusward/relay/__init__.py
+++ b/src/crocusward/relay/__init__.py
@@ -2,10 +2,11 @@
 
 from ._caller import CallerConnection
 from ._exchange import BackendLink, Exchange, ExchangeEnd
+from ._kept import FULL, KeptPlace
 from ._listener import Listener
 from ._messages import CallerAnswer, CallerRequest, refusal
 from ._pipeline import Relay
-from ._places import FULL, KeptPlace, PlaceFinder
+from ._places import PlaceFinder
 from ._probing import PaceProber
 from ._requests import RequestLog
 
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -21,8 +21,9 @@
 from ..timing import TimerService
 from ._caller import DEFAULT_LIMITS
 from ._exchange import BackendLink, Exchange, ExchangeEnd
+from ._kept import Announcer
 from ._messages import CallerAnswer, CallerRequest, refusal
-from ._places import MIN_SEND_S, Announcer, PlaceFinder
+from ._places import MIN_SEND_S, PlaceFinder
 from ._requests import Call, RequestLog
 
 STOPPING_RETRY_S = 0.05  # other hosts take the caller's next connection
--- a/src/crocusward/relay/_places.py
+++ b/src/crocusward/relay/_places.py
@@ -2,12 +2,9 @@
 
 import asyncio
 from collections.abc import Collection
-from typing import Protocol
 
 from ..desired import Directory
 from ..logs import EventSampler
-from ..model import Record
-from ..neighbours import Sighting
 from ..placing import (
     BackendLoad,
     Choice,
@@ -20,6 +17,7 @@
     Verdict,
 )
 from ..timing import TimerService
+from ._kept import FULL, Announcer, KeptPlace
 from ._probing import MAX_ROUNDS, PaceProber
 
 QUEUE_CHECK_S = 0.03  # catches room that no report announced
@@ -27,61 +25,6 @@
 KEEP_FACTOR = 3.0  # times the expected time for which a place of another host counts
 MIN_SEND_S = 0.01  # less time at a server is no use
 MAX_ASKS = 3  # groups that are asked before the request waits, or waits there
-FULL = ""  # answer of a data centre that has no room
-
-
-class KeptPlace(Record):
-    """A place at a backend server that a host of another group keeps.
-
-    Attributes:
-        backend: Id of the server, or ``FULL``.
-        address: IP address of the host.
-        token: Number of the question.
-        pace: Pace of its machine; 1.0 is usual, 0.0 unknown.
-        in_flight: Requests at the server besides this one.
-    """
-
-    __slots__ = ("backend", "address", "token", "pace", "in_flight")
-
-    def __init__(
-        self,
-        backend: str,
-        address: str,
-        token: int,
-        pace: float = 0.0,
-        in_flight: int = 0,
-    ) -> None:
-        self.backend = backend
-        self.address = address
-        self.token = token
-        self.pace = pace
-        self.in_flight = in_flight
-
-
-class Announcer(Protocol):
-    """Tells neighbours of requests in flight, and asks other groups."""
-
-    def announce(self, load: BackendLoad, seen: Sighting | None) -> None:
-        """Report a change at a backend server."""
-
-    async def ask(
-        self, place: PlaceRequest, group: str, shared: bool, wait_s: float
-    ) -> KeptPlace | None:
-        """Ask a host of another group for a place at a server there.
-
-        Args:
-            place: The request.
-            group: The group.
-            shared: Whether a server that has a request already will do.
-            wait_s: How long the request may wait there.
-
-        Returns:
-            The place, with the server ``FULL`` if there is none, or None if no answer
-            came in time.
-        """
-
-    def release(self, kept: KeptPlace) -> None:
-        """Give a place of another group back."""
 
 
 class PlaceFinder:
@@ -284,15 +227,18 @@
         """Return a choice of another group that nobody there answered for.
 
         Hosts and servers of a data centre fail together, so that the server must
-        answer a probe first.
+        answer a probe first. A cold one is left to its own group, since the hosts of
+        other groups do not know how much each of them sends.
         """
         load = choice.load
         if choice.near_by or load is None:
             return None
         if self._prober is not None:
-            is_alive = await self._prober.is_alive(load, place.service)
-            if not is_alive or load.in_flight(self._timer.now()) >= load.entry.slots:
+            if not await self._prober.is_alive(load, place.service):
                 return None
+        now_s = self._timer.now()
+        if load.is_cold(now_s) or load.in_flight(now_s) >= load.entry.slots:
+            return None
         return choice
 
     async def _wait(
