--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -147,7 +147,8 @@
         """Guards against a burst of reads that overloads the table service."""
         standin = await self.start(TableStandin())
         client = CountingClient()
-        table = HttpTable(self.caller(standin.port, client=client, reads=3))
+        caller = self.caller(standin.port, client=client, reads=3, timeout_s=30.0)
+        table = HttpTable(caller)
         await asyncio.gather(*(table.read(f"k{n}") for n in range(40)))
         self.assertEqual(client.most_running, 3)
 
