Serve routes of an unknown kind as non-idempotent

Change: an unknown kind is treated as one whose requests must not run twice, with one log line that names it; 'upload' is known. A kind that is missing or no text still refuses the document.

--- a/src/crocusward/platform/_documents.py
+++ b/src/crocusward/platform/_documents.py
@@ -1,6 +1,7 @@
 """Decodes what operators and backend servers write to the store."""
 
 import json
+from collections import Counter
 from collections.abc import Iterator
 from typing import Any
 
@@ -13,9 +14,11 @@
     WeightedService,
 )
 from ..errors import Finding, FindingsError, Place
+from ..logs import Level, log_event
 from ._fields import Fields
 
-_KINDS = {"safe": True, "unsafe": False}  # whether a request may run more than once
+# Whether a request may run more than once.
+_KINDS = {"safe": True, "unsafe": False, "upload": False}
 _STATES = {"ready": False, "draining": True}  # whether the server is leaving
 DEFAULT_ATTEMPTS = 1
 
@@ -23,6 +26,9 @@
 def decode_desired_state(value: bytes) -> DesiredState:
     """Decode the operators' document.
 
+    A route of a kind that is not known serves requests that must not run twice, which
+    is safe for any kind.
+
     Raises:
         FindingsError: All faults of the document.
     """
@@ -32,7 +38,8 @@
     for item in _rows(top.table("services")):
         service = _decode_service(item)
         services[service.name] = service
-    routes = [_decode_route(item) for item in _rows(top.table("routes"))]
+    unknown: Counter[str] = Counter()
+    routes = [_decode_route(item, unknown) for item in _rows(top.table("routes"))]
     limits = top.table("limits")
     state = DesiredState(
         version,
@@ -46,6 +53,15 @@
         ),
     )
     top.raise_findings()
+    for kind, count in unknown.items():
+        log_event(
+            "route_kind_unknown",
+            Level.WARNING,
+            kind=kind,
+            routes=count,
+            version=version,
+            reason="requests of the routes are not repeated once they may have run",
+        )
     return state
 
 
@@ -117,11 +133,12 @@
     )
 
 
-def _decode_route(item: Fields) -> RouteRule:
+def _decode_route(item: Fields, unknown: Counter[str]) -> RouteRule:
+    """Decode a route, and count its kind if that is not known."""
     kind = item.text("kind")
     prefix = item.text("prefix")
-    if kind not in _KINDS:
-        item.fault("kind", f"{kind!r} is unknown")
+    if kind and kind not in _KINDS:
+        unknown[kind] += 1
     timeout_s = item.duration("timeout")
     return RouteRule(
         item.text("name"),
