Keep the known pace of untried servers in the choice

The log shows them queued for a better pace (patience 0.66 s): after a start every server is untried, and the bonus for untried servers replaced what probes had just told of their machines, so that the best one was often a slow one. Change: the bonus keeps the known pace; an unknown one counts as good, as before.

--- a/src/crocusward/placing/_placer.py
+++ b/src/crocusward/placing/_placer.py
@@ -344,8 +344,10 @@
         found = Candidate(load, count, time_s, time_s + extra_s)
         good_s = base_s * survey.good_pace * cold
         if not load.tried:
-            # A new server is cold and its pace unknown; it gets a first request soon.
-            found.score_s = req.work_s * survey.good_pace - UNTRIED_BONUS_S
+            # A new server is cold and gets a first request soon, unless its machine is
+            # known to be slow just now.
+            pace = load.pace_factor(now_s, survey.good_pace)
+            found.score_s = req.work_s * pace - UNTRIED_BONUS_S
         found.best_s = good_s + extra_s
         found.lost_s = time_s - good_s
         found.is_stale = (
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -200,6 +200,19 @@
         bench.times.observe_pace("svc", 0.0)
         self.assertEqual(bench.choose().stale, [])
 
+    def test_no_wait_for_a_slow_machine_beside_free_ones_after_a_start(self):
+        """Guards against a host that has just started and tried no server yet."""
+        bench = Bench(*[backend(f"b{n}") for n in range(4)])
+        for load in bench.book.loads.values():
+            load.tried = False
+            bench.see(load.entry.id, SightingKind.REFUSED, pace=1.0)
+        bench.see("b2", SightingKind.REFUSED, pace=7.0)
+        for _ in range(3):
+            choice = bench.choose()
+            self.assertIs(choice.verdict, Verdict.PLACE)
+            self.assertNotEqual(choice.load.entry.id, "b2")
+            choice.load.begin(bench.now_s)
+
     def test_learned_work_is_that_of_a_free_machine(self):
         bench = Bench()
         for _ in range(40):
