Let requests wait for the first rows of a daemon that starts

Change: within 0.5 s of the daemon's start a request waits for the rows; later it is refused at once, as before. Two tests; the first failed before.

--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -27,6 +27,9 @@
 from ._requests import Call, RequestLog
 
 STOPPING_RETRY_S = 0.05  # other hosts take the caller's next connection
+# In which a daemon that has started normally has its rows: some calls to a store in
+# another region. Requests that come before wait for them.
+START_WAIT_S = 0.5
 START_RETRY_S = 0.5  # a daemon without a desired state normally has one by then
 LOSER_GRACE_S = 0.25  # the slower of two copies may end by itself within this time
 MEMORY_SHARE = 0.25  # of the host's memory may hold request bodies
@@ -59,6 +62,8 @@
     __slots__ = (
         "limits",
         "stops_at_s",
+        "_usable",
+        "_starts_until_s",
         "_timer",
         "_directory",
         "_book",
@@ -93,6 +98,8 @@
     ) -> None:
         self.limits: CallerLimits = DEFAULT_LIMITS
         self.stops_at_s: float | None = None
+        self._usable = asyncio.Event()
+        self._starts_until_s = timer.now() + START_WAIT_S
         self._timer = timer
         self._directory = directory
         self._book = book
@@ -131,6 +138,8 @@
     async def answer(self, req: CallerRequest) -> CallerAnswer:
         """Answer one request of a caller."""
         began_s = self._timer.now()
+        if not self._directory.is_usable():
+            await self._wait_for_rows()
         state = self._directory.state
         if state is None or not self._directory.is_usable():
             return self._log.refuse_early(req, "", "not_ready", 503, START_RETRY_S)
@@ -161,6 +170,21 @@
             answer = refusal(502, "internal error", close=True)
         return answer
 
+    async def _wait_for_rows(self) -> None:
+        """Wait for the first rows while the daemon starts."""
+        left_s = self._starts_until_s - self._now()
+        if left_s > 0.0:
+            try:
+                async with asyncio.timeout(left_s):
+                    await self._usable.wait()
+            except TimeoutError:
+                pass  # the caller is refused and told when to come back
+
+    def rows_arrived(self) -> None:
+        """Let the requests go on that wait for the first rows."""
+        if self._directory.is_usable():
+            self._usable.set()
+
     def _begin(
         self, req: CallerRequest, route: RouteRule, began_s: float, limit_s: float
     ) -> Call:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -225,6 +225,29 @@
             relay.directory.state = None
             self.assertEqual((await client.ask("GET", "/none/")).status, 503)
 
+    async def test_request_waits_for_the_rows_of_a_starting_daemon(self):
+        """Guards against refusals in the moment between the start and the rows."""
+        async with ScriptedServer([reply("q1")]) as server:
+            async with self.relay(server) as relay:
+                relay.directory.listed = False
+                client = await relay.client()
+                client.send()
+                await asyncio.sleep(0.05)
+                relay.directory.listed = True
+                relay.relay.rows_arrived()
+                self.assertEqual((await client.raw.read()).status, 200)
+
+    async def test_request_without_rows_is_refused_after_the_start(self):
+        """Guards against holding requests while the store is away for long."""
+        async with self.relay() as relay:
+            relay.directory.listed = False
+            client = await relay.client()
+            first = await client.ask()
+            began_s = relay.timer.now()
+            second = await client.ask()
+            self.assertLess(relay.timer.now() - began_s, 0.2)
+        self.assertEqual([first.status, second.status], [503, 503])
+
     async def test_refuses_at_once_when_no_server_is_left(self):
         """Guards against holding requests that cannot be served."""
         async with self.relay() as relay:
