Ask another region before a waiting request loses its objective

Another region was asked only for requests that were to be refused. Change: a request that may leave the region and has a small body waits here as long as it can still meet its objective elsewhere, then asks up to two groups of other regions. A host with waiting requests of its own keeps no place for such a question.

--- a/src/crocusward/placing/__init__.py
+++ b/src/crocusward/placing/__init__.py
@@ -8,6 +8,7 @@
 from ._choice import Choice, PlaceRequest, Refused, Verdict
 from ._groups import Groups, data_centre_of
 from ._load import BackendLoad
+from ._overflow import Overflow
 from ._placer import Placer
 from ._queue import QueuedRequest, RequestQueue
 from ._retries import RetryAllowance
@@ -19,6 +20,7 @@
     "Choice",
     "Groups",
     "LoadBook",
+    "Overflow",
     "PlaceRequest",
     "Placer",
     "QueuedRequest",
--- a/src/crocusward/placing/_choice.py
+++ b/src/crocusward/placing/_choice.py
@@ -41,6 +41,7 @@
         deadline_s: Monotonic time after which an answer is useless.
         work_s: Usual time of such a request.
         excluded: Backend servers that were tried.
+        body_bytes: Size of its body.
     """
 
     __slots__ = (
@@ -51,6 +52,7 @@
         "deadline_s",
         "work_s",
         "excluded",
+        "body_bytes",
     )
 
     def __init__(
@@ -63,6 +65,7 @@
         deadline_s: float,
         work_s: float,
         excluded: Collection[str] = (),
+        body_bytes: int = 0,
     ) -> None:
         self.id = id
         self.route = route
@@ -71,6 +74,7 @@
         self.deadline_s = deadline_s
         self.work_s = work_s
         self.excluded = excluded
+        self.body_bytes = body_bytes
 
     def rank(self, now_s: float) -> tuple[bool, int, float]:
         """Return the place in the order of waiting requests, smallest first."""
--- /dev/null
+++ b/src/crocusward/placing/_overflow.py
@@ -0,0 +1,47 @@
+"""When a request that waits here asks another region."""
+
+import math
+
+from ._choice import PlaceRequest
+from ._placer import FAR_TRIP_S, Placer
+
+MAX_FAR_ASKS = 2  # groups of other regions that one request asks
+
+
+class Overflow:
+    """Follows whether a waiting request should ask another region.
+
+    Answers loads above the capacity of one region beside room in another: the request
+    waits here as long as it can and still meet its objective there.
+
+    Args:
+        placer: Knows which requests may leave the region.
+        place: The request.
+
+    Attributes:
+        asked: Groups that were asked.
+    """
+
+    __slots__ = ("asked", "_placer", "_place", "_is_over")
+
+    def __init__(self, placer: Placer, place: PlaceRequest) -> None:
+        self.asked: set[str] = set()
+        self._placer = placer
+        self._place = place
+        self._is_over = False
+
+    def end(self) -> None:
+        """Ask no more."""
+        self._is_over = True
+
+    def left_s(self, now_s: float) -> float:
+        """Return how long the request may wait before it asks; infinite if never."""
+        if self._is_over or len(self.asked) >= MAX_FAR_ASKS:
+            return math.inf
+        slack_s = self._placer.far_slack_s(self._place, now_s)
+        # Much later an answer from there is late, too.
+        return math.inf if slack_s is None or slack_s < -FAR_TRIP_S else slack_s
+
+    def is_due(self, now_s: float) -> bool:
+        """Return whether the request should ask now."""
+        return self.left_s(now_s) <= 0.0
--- a/src/crocusward/placing/_placer.py
+++ b/src/crocusward/placing/_placer.py
@@ -20,6 +20,10 @@
 SAMPLED = 48  # servers outside the group that are looked at for one request
 CONNECT_S = 0.004  # cost of a new connection: a handshake at the server, and its price
 FAR_TRIP_S = 0.06  # a question and an exchange between regions
+# Larger bodies stay in the region while it can answer them at all: this one takes 4 ms
+# of a link of 30 Mbit/s that all traffic shares.
+FAR_BODY_BYTES = 16_384
+FAR_WORK = 1.5  # times the usual work that most answers of a busy server take
 IDLE_ELSEWHERE = 0.15  # share of idle servers from which another data centre has room
 IDLE_NEAR = 0.1  # the same for another group of the data centre, asked at little cost
 # Share of failing servers above which their failures say nothing of a single one, and
@@ -88,11 +92,18 @@
             and (not route.regions or load.region in route.regions)
         )
 
-    def far_server(self, req: PlaceRequest, now_s: float) -> BackendLoad | None:
+    def far_server(
+        self, req: PlaceRequest, now_s: float, *, avoid: Collection[str] = ()
+    ) -> BackendLoad | None:
         """Return a server of another region that may run a request, or None.
 
         The link between regions is narrow and billed by volume, so that it is for
-        requests that would be refused otherwise and can still be answered in time.
+        requests that would be refused or late otherwise.
+
+        Args:
+            req: The request.
+            now_s: Monotonic time.
+            avoid: Groups that have no room.
         """
         if now_s + req.work_s + FAR_TRIP_S > req.deadline_s:
             return None
@@ -104,8 +115,25 @@
             and self.is_allowed(load, req.route)
             and self._is_open(load, req, now_s, False)
         ]
+        far = [load for load in far if not avoid or load.group not in avoid]
         return self._rng.choice(far) if far else None
 
+    def far_slack_s(self, req: PlaceRequest, now_s: float) -> float | None:
+        """Return how long a request may wait here and meet its objective elsewhere.
+
+        Answers loads above the capacity of one region beside room in another.
+
+        Returns:
+            The time until it must ask another region, below 0 if that has passed, or
+            None if it has to stay.
+        """
+        if req.body_bytes > FAR_BODY_BYTES:
+            return None
+        regions = req.route.regions
+        if regions and not regions - {self._region}:
+            return None
+        return req.objective_s - now_s - FAR_WORK * req.work_s - FAR_TRIP_S
+
     def choose(
         self,
         req: PlaceRequest,
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -197,6 +197,7 @@
             objective_s=req.received_s + route.objective_s,
             deadline_s=req.received_s + limit_s,
             work_s=self._times.work_s(service, route.name, route.objective_s),
+            body_bytes=len(req.body),
         )
         call = Call(req, place, began_s)
         place.excluded = call.tried
--- a/src/crocusward/relay/_places.py
+++ b/src/crocusward/relay/_places.py
@@ -1,6 +1,7 @@
 """Finds a place at a backend server: chosen here, waited for, or asked for."""
 
 import asyncio
+import math
 from collections.abc import Collection
 
 from ..desired import Directory
@@ -9,6 +10,7 @@
     BackendLoad,
     Choice,
     LoadBook,
+    Overflow,
     Placer,
     PlaceRequest,
     QueuedRequest,
@@ -102,6 +104,7 @@
         """Return a place here, or in the other groups that may be asked."""
         full: set[str] = set()
         is_patient = True
+        overflow = Overflow(self._placer, place)
         while True:
             now_s = self._timer.now()
             if now_s + MIN_SEND_S >= place.deadline_s:
@@ -122,10 +125,15 @@
                 # The next questions accept a shared server and a wait.
                 is_patient = False
                 full.clear()
+            elif overflow.is_due(now_s):
+                found = await self._ask_far(place, overflow)
+                if found is not None:
+                    return found
             else:
-                if await self._wait(place, queue, choice, not is_patient):
+                limit_s = overflow.left_s(now_s)
+                if await self._wait(place, queue, choice, not is_patient, limit_s):
                     return choice
-                if not choice.awaits_pace:
+                if not choice.awaits_pace and choice.patience_s <= limit_s:
                     is_patient = False
                     full.clear()
 
@@ -191,11 +199,18 @@
             return await self._take_unasked(place, choice)
         return choice if self._take_kept(place, choice, kept) else None
 
-    async def _ask_far(self, place: PlaceRequest) -> Choice | None:
-        """Ask another region for a request that would be refused here."""
-        load = self._placer.far_server(place, self._timer.now())
+    async def _ask_far(
+        self, place: PlaceRequest, overflow: Overflow | None = None
+    ) -> Choice | None:
+        """Ask another region for a request that would be refused or late here."""
+        avoid = overflow.asked if overflow else ()
+        load = self._placer.far_server(place, self._timer.now(), avoid=avoid)
         if load is None:
+            if overflow is not None:
+                overflow.end()
             return None
+        if overflow is not None:
+            overflow.asked.add(load.group)
         kept = await self._announcer.ask(place, load.group, True, 0.0)
         choice = Choice(Verdict.PLACE, load)
         if kept is None or not self._take_kept(place, choice, kept):
@@ -242,7 +257,12 @@
         return choice
 
     async def _wait(
-        self, place: PlaceRequest, queue: RequestQueue, choice: Choice, shares: bool
+        self,
+        place: PlaceRequest,
+        queue: RequestQueue,
+        choice: Choice,
+        shares: bool,
+        limit_s: float = math.inf,
     ) -> bool:
         """Wait for room here; return False when waiting longer does not pay."""
         now_s = self._timer.now()
@@ -258,7 +278,7 @@
             wait_s=choice.wait_s,
             patience_s=choice.patience_s,
         )
-        end_s = min(choice.patience_s, place.deadline_s - now_s)
+        end_s = min(choice.patience_s, place.deadline_s - now_s, limit_s)
         if not choice.near_by:
             end_s = min(end_s, QUEUE_CHECK_S)  # no server here can become free
         try:
@@ -375,6 +395,8 @@
             work_s=work_s,
         )
         queue = self._queues.setdefault(service, RequestQueue())
+        if queue and wait_s <= 0.0:
+            return None  # requests of this host go first
         try:
             choice = await self._choose(
                 place, queue, not shared, own_group=True, rounds=1
