Bound what servers that send without end may take

Two gaps in the reading of answers: framing was counted only in reads that brought nothing of the body, so that chunks of one byte with extensions of 4 kB were read until the time limit at the full speed of the link; and each answer may be 16 MB, so that 20 of them at once take more than a host's 300 MB. Change: framing may take 64 kB and eight times the body in all; the answers under way on the connections to servers share a quarter of the host's memory, and the largest is given up when they exceed it. Its request may have run and is answered as such. Tests: seven kinds of endless bytes, and six endless bodies beside small answers; the chunks of extensions took 20 s and the bodies were not given up before the change.

--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -35,7 +35,7 @@
     RequestLog,
 )
 from ..timing import LoopTimer
-from ..upstream import HttpPool
+from ..upstream import AnswerMemory, HttpPool
 from ._control import ControlHandler
 from ._hub import NeighbourHub
 from ._reader import READ_TIMEOUT_S, NeighbourRows, TableFollower
@@ -54,6 +54,8 @@
 NOTICE_S = 2.6  # the platform asks once a second and acts on the second refusal
 STOP_MARGIN_S = 0.3  # before the end of the grace time
 IDLE_CLOSE_SHARE = 0.7  # of the grace time, after which unused connections close
+MB = 1 << 20
+ANSWER_SHARE = 0.25  # of the host's memory may hold answers that are not whole yet
 LOG_LINES_PER_S = 20  # of each kind; more are counted
 
 
@@ -97,6 +99,7 @@
             connections=BACKEND_CONNECTIONS,
             idle_s=BACKEND_IDLE_S,
             connect_timeout_s=BACKEND_CONNECT_S,
+            memory=AnswerMemory(int(facts.limits.memory_mb * MB * ANSWER_SHARE)),
         )
         self.store = RowClient(self._store_pool, facts.store)
         self.followers = {name: self._make_follower(name) for name in TABLES}
--- a/src/crocusward/upstream/_connection.py
+++ b/src/crocusward/upstream/_connection.py
@@ -11,8 +11,10 @@
 from ..errors import ExchangeLostError
 from ..model import Record
 from ..timing import Subscription, TimerService
+from ._memory import AnswerMemory
 
 MAX_HEAD_BYTES = 65_536  # also bounds trailers and chunk extensions
+FRAMING_PER_BODY = 8  # bytes for each byte of a body sent in chunks of one byte
 PEEK_AFTER_IDLE_S = 0.2
 _NO_BODY_STATUSES = frozenset({204, 304})
 
@@ -47,6 +49,7 @@
         buffer: Receives what is read. The parser copies what it keeps, so that
             all connections of a loop can share one; a new buffer for each read,
             as asyncio makes it by default, costs eight times the system call.
+        memory: Counts the parts of answers of all connections, or None.
 
     Attributes:
         closed: True once the connection can no longer be used.
@@ -70,6 +73,7 @@
         "_loop",
         "_sock",
         "_buffer",
+        "_memory",
         "_transport",
         "_parser",
         "_answer",
@@ -93,7 +97,11 @@
     )
 
     def __init__(
-        self, timer: TimerService, sock: socket.socket, buffer: memoryview
+        self,
+        timer: TimerService,
+        sock: socket.socket,
+        buffer: memoryview,
+        memory: AnswerMemory | None = None,
     ) -> None:
         self.closed = False
         self.idle_since_s = 0.0
@@ -106,6 +114,7 @@
         self._loop = asyncio.get_running_loop()
         self._sock = sock
         self._buffer = buffer
+        self._memory = memory
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._answer: asyncio.Future[HttpAnswer] | None = None
@@ -195,6 +204,8 @@
             return await answer
         finally:
             self._answer = None
+            if self._memory is not None:
+                self._memory.release(id(self))
 
     def may_be_reused(self) -> bool:
         """Return True if the last exchange left the connection in a clean state."""
@@ -239,10 +250,10 @@
             self._keep_alive = False
         if self._complete:
             self._finish(data)
-        elif self._body_bytes == before:
-            self._unframed_bytes += len(data)
-            if self._unframed_bytes > MAX_HEAD_BYTES:
-                self._fail("the head of the answer is too large")
+            return
+        self._unframed_bytes += nbytes - (self._body_bytes - before)
+        if self._unframed_bytes > MAX_HEAD_BYTES + FRAMING_PER_BODY * self._body_bytes:
+            self._fail("the head of the answer is too large")
 
     def eof_received(self) -> bool:
         """Treat the end of the stream as the end of an answer without a length."""
@@ -314,12 +325,14 @@
         """Keep a part of the body within the limit."""
         if self._is_foreign:
             return
-        if self._complete:
+        if self._complete or self.closed:
             raise ValueError("bytes after the end of the answer")
         self._body_bytes += len(body)
         if self._body_bytes > self._limit_bytes:
             raise ValueError("the body is larger than allowed")
         self._body.append(body)
+        if self._memory is not None:
+            self._memory.add(id(self), len(body), self._fail)
 
     def on_message_complete(self) -> None:
         """Mark the answer as complete."""
@@ -374,6 +387,7 @@
         if self.closed:
             return
         self.closed = True
+        self._body = []
         if self._alarm is not None:
             self._alarm.cancel()
         if self.on_closed is not None:
--- a/src/crocusward/upstream/_pool.py
+++ b/src/crocusward/upstream/_pool.py
@@ -8,6 +8,7 @@
 from ..timing import Subscription, TimerService
 from ._connection import Headers, HttpAnswer, HttpConnection
 from ._encode import encode_request
+from ._memory import AnswerMemory
 
 DEFAULT_CONNECTIONS = 16
 DEFAULT_IDLE_S = 30.0
@@ -36,10 +37,12 @@
         connections: Largest number of connections to one address.
         idle_s: Time after which an unused connection is closed, in seconds.
         connect_timeout_s: Longest time to open a connection, in seconds.
+        memory: Bounds what the answers under way take, or None.
     """
 
     __slots__ = (
         "connections",
+        "_memory",
         "_timer",
         "_idle_s",
         "_connect_timeout_s",
@@ -56,8 +59,10 @@
         connections: int = DEFAULT_CONNECTIONS,
         idle_s: float = DEFAULT_IDLE_S,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        memory: AnswerMemory | None = None,
     ) -> None:
         self.connections = connections
+        self._memory = memory
         self._timer = timer
         self._idle_s = idle_s
         self._connect_timeout_s = connect_timeout_s
@@ -247,7 +252,7 @@
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             await loop.sock_connect(sock, (address, port))
-            conn = HttpConnection(self._timer, sock, self._buffer)
+            conn = HttpConnection(self._timer, sock, self._buffer, self._memory)
             await loop.create_connection(lambda: conn, sock=sock)
             if conn.closed:
                 raise ConnectionResetError("closed by the server at once")
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -7,7 +7,7 @@
 
 from crocusward.errors import ExchangeLostError, NotSentError
 from crocusward.timing import LoopTimer
-from crocusward.upstream import HttpPool
+from crocusward.upstream import AnswerMemory, HttpPool
 
 from .scripted_server import ScriptedServer, answer
 
@@ -206,6 +206,86 @@
             self.assertEqual(server.connections, 1)
 
 
+class EndlessServer:
+    """Sends a head and then one piece again and again, until the caller closes."""
+
+    def __init__(self, head, piece):
+        self.head = head
+        self.piece = piece
+        self.closed = 0
+
+    async def __aenter__(self):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self.server.close()
+
+    async def _serve(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(self.head)
+        try:
+            while True:
+                writer.write(self.piece)
+                await writer.drain()
+        except OSError:
+            self.closed += 1
+        writer.close()
+
+
+class EndlessAnswerTest(PoolTestCase):
+    """Guards against servers that send without end and take memory or time."""
+
+    OK = b"HTTP/1.1 200 OK\r\n"
+    CHUNKED = OK + b"transfer-encoding: chunked\r\n\r\n"
+
+    async def test_bytes_that_are_no_answer_end_the_exchange(self):
+        cases = {
+            "status line": (b"HTTP/1.1 200 ", b"x" * 4000),
+            "head": (self.OK, b"x-a: b\r\n" * 500),
+            "one long header": (self.OK + b"x-a: ", b"x" * 4000),
+            "interim answers": (b"", b"HTTP/1.1 102 Wait\r\n\r\n" * 100),
+            "chunk extension": (self.CHUNKED + b"1;", b"x" * 4000),
+            "chunks of extensions": (
+                self.CHUNKED,
+                b"1;" + b"x" * 4000 + b"\r\nx\r\n",
+            ),
+            "trailers": (self.CHUNKED + b"0\r\n", b"x-a: b\r\n" * 500),
+        }
+        for name, (head, piece) in cases.items():
+            with self.subTest(name):
+                async with EndlessServer(head, piece) as server:
+                    began_s = asyncio.get_running_loop().time()
+                    with self.assertRaises(ExchangeLostError) as caught:
+                        await self.send(server, timeout_s=20.0, limit_bytes=1 << 30)
+                    took_s = asyncio.get_running_loop().time() - began_s
+                    self.assertLess(took_s, 10.0)
+                    self.assertNotIn("in time", str(caught.exception))
+                    self.assertEqual(self.pool.count("127.0.0.1", server.port), 0)
+
+    async def test_endless_bodies_leave_the_answers_of_others_alone(self):
+        memory = AnswerMemory(4 << 20)
+        self.make_pool(memory=memory)
+        endless = (self.OK + b"content-length: 1000000000\r\n\r\n", b"x" * 65_536)
+        async with EndlessServer(*endless) as server:
+            floods = [
+                asyncio.create_task(
+                    self.send(server, timeout_s=20.0, limit_bytes=16 << 20)
+                )
+                for _ in range(6)
+            ]
+            async with ScriptedServer([answer()]) as good:
+                for _ in range(20):
+                    self.assertEqual((await self.send(good)).body, b"ok")
+                    self.assertLessEqual(memory.used_bytes, 4 << 20)
+            results = await asyncio.gather(*floods, return_exceptions=True)
+        for found in results:
+            self.assertIsInstance(found, ExchangeLostError)
+        self.assertEqual(memory.used_bytes, 0)
+        self.assertGreater(memory.given_up, 0)
+
+
 class PoolLimitTest(PoolTestCase):
     async def test_connection_cap_holds_and_can_change(self):
         """Guards against more connections than this host's share."""
