--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -209,9 +209,10 @@
 class EndlessServer:
     """Sends a head and then one piece again and again, until the caller closes."""
 
-    def __init__(self, head, piece):
+    def __init__(self, head, piece, pause_s=0.0):
         self.head = head
         self.piece = piece
+        self.pause_s = pause_s
         self.closed = 0
 
     async def __aenter__(self):
@@ -229,6 +230,7 @@
             while True:
                 writer.write(self.piece)
                 await writer.drain()
+                await asyncio.sleep(self.pause_s)
         except OSError:
             self.closed += 1
         writer.close()
@@ -264,6 +266,16 @@
                     self.assertNotIn("in time", str(caught.exception))
                     self.assertEqual(self.pool.count("127.0.0.1", server.port), 0)
 
+    async def test_single_bytes_do_not_extend_the_time_limit(self):
+        cases = {"head": (self.OK + b"x-a: ", b"x"), "body": (self.OK + b"\r\n", b"x")}
+        for name, (head, piece) in cases.items():
+            with self.subTest(name):
+                async with EndlessServer(head, piece, 0.01) as server:
+                    with self.assertRaises(ExchangeLostError) as caught:
+                        await self.send(server, timeout_s=0.2, reads_to_end=True)
+                    self.assertIn("in time", str(caught.exception))
+                    self.assertEqual(self.pool.count("127.0.0.1", server.port), 0)
+
     async def test_endless_bodies_leave_the_answers_of_others_alone(self):
         memory = AnswerMemory(4 << 20)
         self.make_pool(memory=memory)
