--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -20,18 +20,16 @@
 )
 from ..timing import TimerService
 from ._caller import DEFAULT_LIMITS
+from ._copies import SlowerCopies
 from ._exchange import BackendLink, Exchange, ExchangeEnd
 from ._kept import Announcer
 from ._messages import CallerAnswer, CallerRequest, refusal
 from ._places import MIN_SEND_S, PlaceFinder
 from ._requests import Call, RequestLog
+from ._start import StartGate
 
 STOPPING_RETRY_S = 0.05  # other hosts take the caller's next connection
-# In which a daemon that has started normally has its rows: some calls to a store in
-# another region. Requests that come before wait for them.
-START_WAIT_S = 0.5
 START_RETRY_S = 0.5  # a daemon without a desired state normally has one by then
-LOSER_GRACE_S = 0.25  # the slower of two copies may end by itself within this time
 MEMORY_SHARE = 0.25  # of the host's memory may hold request bodies
 MB = 1 << 20
 
@@ -57,13 +55,13 @@
         limits: Bounds of what a caller may send.
         stops_at_s: When the daemon ends, in monotonic seconds, or None. A request
             whose time limit lies beyond it is refused, since it could be cut.
+        start_gate: Holds requests until the daemon has its first rows.
     """
 
     __slots__ = (
         "limits",
         "stops_at_s",
-        "_usable",
-        "_starts_until_s",
+        "start_gate",
         "_timer",
         "_directory",
         "_book",
@@ -78,7 +76,7 @@
         "_split",
         "_body_bytes",
         "_body_limit",
-        "_losers",
+        "_slower",
     )
 
     def __init__(
@@ -98,8 +96,7 @@
     ) -> None:
         self.limits: CallerLimits = DEFAULT_LIMITS
         self.stops_at_s: float | None = None
-        self._usable = asyncio.Event()
-        self._starts_until_s = timer.now() + START_WAIT_S
+        self.start_gate = StartGate(timer, directory)
         self._timer = timer
         self._directory = directory
         self._book = book
@@ -114,7 +111,7 @@
         self._split = WeightedSplit()
         self._body_bytes = 0
         self._body_limit = int(memory_mb * MB * MEMORY_SHARE)
-        self._losers: set[asyncio.Task[None]] = set()
+        self._slower = SlowerCopies()
 
     # RequestHandler.
 
@@ -138,10 +135,9 @@
     async def answer(self, req: CallerRequest) -> CallerAnswer:
         """Answer one request of a caller."""
         began_s = self._timer.now()
-        if not self._directory.is_usable():
-            await self._wait_for_rows()
+        is_started = await self.start_gate.passes()
         state = self._directory.state
-        if state is None or not self._directory.is_usable():
+        if state is None or not is_started:
             return self._log.refuse_early(req, "", "not_ready", 503, START_RETRY_S)
         route = state.find_route(req.host, req.path)
         if route is None:
@@ -170,21 +166,6 @@
             answer = refusal(502, "internal error", close=True)
         return answer
 
-    async def _wait_for_rows(self) -> None:
-        """Wait for the first rows while the daemon starts."""
-        left_s = self._starts_until_s - self._now()
-        if left_s > 0.0:
-            try:
-                async with asyncio.timeout(left_s):
-                    await self._usable.wait()
-            except TimeoutError:
-                pass  # the caller is refused and told when to come back
-
-    def rows_arrived(self) -> None:
-        """Let the requests go on that wait for the first rows."""
-        if self._directory.is_usable():
-            self._usable.set()
-
     def _begin(
         self, req: CallerRequest, route: RouteRule, began_s: float, limit_s: float
     ) -> Call:
@@ -221,7 +202,7 @@
                 if not done and self._now() >= call.place.deadline_s:
                     return self._give_up(call)
         finally:
-            self._release_losers(running)
+            self._slower.release(running)
 
     async def _wait(
         self, call: Call, running: dict[asyncio.Task[Exchange], Choice]
@@ -457,24 +438,5 @@
         )
         return refusal(503, f"not run: {exc}"[:200], retry_after_s=retry_after_s)
 
-    def _release_losers(self, running: "dict[asyncio.Task[Exchange], Choice]") -> None:
-        for task in running:
-            if task.done():
-                continue
-            current = asyncio.current_task()
-            if current is not None and current.cancelling():
-                task.cancel()
-                continue
-            loser = asyncio.get_running_loop().create_task(_end_soon(task))
-            self._losers.add(loser)
-            loser.add_done_callback(self._losers.discard)
-
     def _now(self) -> float:
         return self._timer.now()
-
-
-async def _end_soon(task: "asyncio.Task[Exchange]") -> None:
-    """Let the slower copy of a request end, then cancel it."""
-    _, late = await asyncio.wait({task}, timeout=LOSER_GRACE_S)
-    for item in late:
-        item.cancel()
