Bound the answers to other requests that one exchange skips

Cause: an answer to another request resets the count of framing, so that a server which sends such answers without end was read at full speed until the time limit. Change: eight are skipped in one exchange; the next one fails it. The test took 20 s, its time limit, before.

--- a/src/crocusward/placing/_placer.py
+++ b/src/crocusward/placing/_placer.py
@@ -113,9 +113,9 @@
             for load in loads
             if load.region != self._region
             and self.is_allowed(load, req.route)
+            and load.group not in avoid
             and self._is_open(load, req, now_s, False)
         ]
-        far = [load for load in far if not avoid or load.group not in avoid]
         return self._rng.choice(far) if far else None
 
     def far_slack_s(self, req: PlaceRequest, now_s: float) -> float | None:
--- a/src/crocusward/upstream/_connection.py
+++ b/src/crocusward/upstream/_connection.py
@@ -14,6 +14,7 @@
 from ._memory import AnswerMemory
 
 MAX_HEAD_BYTES = 65_536  # also bounds trailers and chunk extensions
+MAX_FOREIGN = 8  # answers to other requests that are skipped in one exchange
 FRAMING_PER_BODY = 8  # bytes for each byte of a body sent in chunks of one byte
 PEEK_AFTER_IDLE_S = 0.2
 _NO_BODY_STATUSES = frozenset({204, 304})
@@ -93,6 +94,7 @@
         "_keep_alive",
         "_is_own",
         "_is_foreign",
+        "_foreign_left",
         "_reads_to_end",
     )
 
@@ -124,6 +126,7 @@
         self._is_head = False
         self._limit_bytes = 0
         self._status = 0
+        self._foreign_left = 0
         self._is_own: Callable[[int, Headers], bool] | None = None
         self._reads_to_end = False
         self._reset_answer()
@@ -193,6 +196,7 @@
         answer: asyncio.Future[HttpAnswer] = self._loop.create_future()
         self._answer = answer
         self.exchanges += 1
+        self._foreign_left = MAX_FOREIGN
         self._is_own = is_own
         self._reads_to_end = reads_to_end
         self._is_head = is_head
@@ -312,6 +316,9 @@
     def _skip_foreign_answer(self) -> None:
         if not self._has_length and self._status not in _NO_BODY_STATUSES:
             raise ValueError("an answer to another request has no length")
+        if not self._foreign_left:
+            raise ValueError("too many answers to other requests")
+        self._foreign_left -= 1
         self.foreign += 1
         self._is_foreign = True
 
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -266,6 +266,12 @@
                     self.assertNotIn("in time", str(caught.exception))
                     self.assertEqual(self.pool.count("127.0.0.1", server.port), 0)
 
+    async def test_answers_to_other_requests_end_the_exchange(self):
+        async with EndlessServer(b"", answer(b"x" * 500)) as server:
+            with self.assertRaises(ExchangeLostError) as caught:
+                await self.send(server, timeout_s=20.0, is_own=lambda *_: False)
+        self.assertIn("other requests", str(caught.exception))
+
     async def test_single_bytes_do_not_extend_the_time_limit(self):
         cases = {"head": (self.OK + b"x-a: ", b"x"), "body": (self.OK + b"\r\n", b"x")}
         for name, (head, piece) in cases.items():
