Log and count the rate limits that backend servers name

Change: answers and probes are read for the limit; a limit learned, changed, ended or ignored as not valid is logged with server, service, value, previous value and request, and counted. Nothing decides by it yet. A limit ends only with an answer to a request sent after it was last named. Times are those of the boot clock, which goes on while a host is suspended.

--- a/src/crocusward/entryd/_exposition.py
+++ b/src/crocusward/entryd/_exposition.py
@@ -20,6 +20,9 @@
         "desired_state_version": state.version if state else 0,
         "backends": len(process.directory.backends),
         "data_centres_out": len(process.directory.data_centres_out),
+        "backends_rate_limited": sum(
+            bool(load.rate_limit) for load in process.load_table.loads.values()
+        ),
         "neighbours_live": len(process.neighbours.list_live(now_s)),
         "hosts_known": process.hub.fleet_size,
         "requests_pending": process.callers.pending,
@@ -35,6 +38,9 @@
     for table, follower in process.followers.items():
         age_s = min(1e9, now_s - follower.answered_s)
         lines.append(f'{PREFIX}table_age_seconds{{table="{table}"}} {age_s:.3f}')
+    lines.append(f"# TYPE {PREFIX}rate_limit_events_total counter")
+    for event, count in process.rate_limits.changes.items():
+        lines.append(f'{PREFIX}rate_limit_events_total{{event="{event}"}} {count}')
     return ("\n".join(lines) + "\n").encode("utf-8")
 
 
--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -36,11 +36,12 @@
     BackendClient,
     Listener,
     LoadProber,
+    RateLimitTracker,
     Relay,
     RequestLog,
     SlotFinder,
 )
-from ..timing import LoopTimer
+from ..timing import LoopTimer, boot_time_s
 from ..upstream import AnswerMemoryBudget, HttpPool
 from ._control import ControlHandler
 from ._hub import NeighbourHub
@@ -143,6 +144,7 @@
             self._rng,
         )
         self.selector.cold_rate_factor = bounds.cold_rate_factor
+        self.rate_limits = RateLimitTracker(boot_time_s, self.sampler)
         self.slot_finder = SlotFinder(
             self.timer,
             self.directory,
@@ -150,7 +152,14 @@
             self.selector,
             self.hub,
             self.sampler,
-            LoadProber(self.timer, self.directory, times, backend_client, self.sampler),
+            LoadProber(
+                self.timer,
+                self.directory,
+                times,
+                backend_client,
+                self.sampler,
+                self.rate_limits,
+            ),
         )
         self.request_log = RequestLog(self.timer.now, self.directory, self.sampler)
         self.relay = Relay(
@@ -165,6 +174,7 @@
             self.hub,
             self.request_log,
             self.invariants,
+            self.rate_limits,
             facts.limits.memory_mb,
         )
         control = ControlHandler(self)
--- a/src/crocusward/neighbours/_messages.py
+++ b/src/crocusward/neighbours/_messages.py
@@ -28,9 +28,25 @@
         waiting: Requests that it reported as waiting.
         slowdown: Reported slowdown of its machine; 1.0 is unloaded, 0.0 unknown.
         cold_left_s: Reported time until the server is warm, -1 if unknown.
+        rate_limit_per_s: Requests per second that it takes, 0.0 if it names no limit,
+            -1 if unknown. This and the next three are not sent to neighbours.
+        rate_limit_error: Why a limit that it named is not valid, or "".
+        asked_s: When the request was sent, by the clock of rate limits.
+        answered_s: When the answer arrived, by the same clock.
     """
 
-    __slots__ = ("backend", "kind", "running", "waiting", "slowdown", "cold_left_s")
+    __slots__ = (
+        "backend",
+        "kind",
+        "running",
+        "waiting",
+        "slowdown",
+        "cold_left_s",
+        "rate_limit_per_s",
+        "rate_limit_error",
+        "asked_s",
+        "answered_s",
+    )
 
     def __init__(
         self,
@@ -47,6 +63,10 @@
         self.waiting = waiting
         self.slowdown = slowdown
         self.cold_left_s = cold_left_s
+        self.rate_limit_per_s = -1.0
+        self.rate_limit_error = ""
+        self.asked_s = 0.0
+        self.answered_s = 0.0
 
 
 class IdleSummary(Record):
--- a/src/crocusward/placing/__init__.py
+++ b/src/crocusward/placing/__init__.py
@@ -9,6 +9,7 @@
 from ._load import BackendLoad
 from ._load_table import BackendLoadTable
 from ._queue import QueuedRequest, RequestQueue
+from ._rate_limit import NO_LIMIT, ServerRateLimit
 from ._retry_budget import FleetRetryBudget
 from ._selection import Refused, Selection, SelectionRequest, SelectionVerdict
 from ._selector import BackendSelector
@@ -16,6 +17,7 @@
 from ._split import WeightedSplit
 
 __all__ = [
+    "NO_LIMIT",
     "BackendLoad",
     "BackendLoadTable",
     "BackendSelector",
@@ -28,6 +30,7 @@
     "Selection",
     "SelectionRequest",
     "SelectionVerdict",
+    "ServerRateLimit",
     "ServiceTimeModel",
     "WeightedSplit",
     "data_centre_of",
--- a/src/crocusward/placing/_load.py
+++ b/src/crocusward/placing/_load.py
@@ -5,6 +5,7 @@
 
 from ..desired import BackendEntry
 from ..neighbours import BackendObservation, ObservationKind
+from ._rate_limit import ServerRateLimit
 
 # The slowdown of shared machines changes many times a second.
 SLOWDOWN_DECAY_S = 0.15
@@ -41,6 +42,7 @@
         is_unreachable: Whether the last connection to it failed.
         ejected_until_s: Monotonic time until which it is ejected.
         cold_until_s: Monotonic time until which it is cold.
+        rate_limit: Request rate that it takes from all hosts together.
         idle_connections: Number of idle connections of this host to it.
         sent_times_s: Monotonic send times of this host's requests in flight.
         probe_missed_s: Monotonic time of this host's last unanswered probe.
@@ -57,6 +59,7 @@
         "is_unreachable",
         "ejected_until_s",
         "cold_until_s",
+        "rate_limit",
         "idle_connections",
         "sent_times_s",
         "probe_missed_s",
@@ -85,6 +88,7 @@
         self.is_unreachable = False
         self.ejected_until_s = -1.0
         self.cold_until_s = -1.0
+        self.rate_limit = ServerRateLimit()
         self.idle_connections = 0
         self.sent_times_s: list[float] = []
         self.probe_missed_s = -1e9
--- a/src/crocusward/platform/__init__.py
+++ b/src/crocusward/platform/__init__.py
@@ -11,6 +11,7 @@
     HttpTableService,
 )
 from ._documents import decode_backend, decode_desired_state
+from ._fields import parse_rate_limit
 from ._http import Backoff, HttpAnswer, HttpClient, PlatformClient, PlatformEndpoint
 from ._interfaces import (
     ABSENT_REVISION,
@@ -31,6 +32,7 @@
     DEADLINE_MS_HEADER,
     EXPECTED_BACKEND_HEADER,
     NOT_RUN,
+    RATE_LIMIT_HEADER,
     READY_PATH,
     REPLICATED_TABLES,
     REQUEST_ID_HEADER,
@@ -46,6 +48,7 @@
     "COLD_LEFT_MS_HEADER",
     "EXPECTED_BACKEND_HEADER",
     "NOT_RUN",
+    "RATE_LIMIT_HEADER",
     "READY_PATH",
     "REQUEST_ID_HEADER",
     "BOOT_SETTINGS_VARIABLE",
@@ -80,5 +83,6 @@
     "decode_backend",
     "decode_desired_state",
     "decode_boot_settings",
+    "parse_rate_limit",
     "read_boot_settings",
 ]
--- a/src/crocusward/platform/_wire_names.py
+++ b/src/crocusward/platform/_wire_names.py
@@ -20,6 +20,8 @@
 NOT_RUN = b"crocusward-not-executed"
 BACKEND_LOAD_HEADER = b"crocusward-server-load"
 COLD_LEFT_MS_HEADER = b"crocusward-warmup-remaining-ms"
+# Requests per second that a server takes from all hosts together, a decimal number.
+RATE_LIMIT_HEADER = b"server-limit"
 
 BOOT_SETTINGS_VARIABLE = "CROCUSWARD_BOOT"
 READY_PATH = "/ready"
--- a/src/crocusward/relay/__init__.py
+++ b/src/crocusward/relay/__init__.py
@@ -6,6 +6,7 @@
 from ._messages import CallerAnswer, CallerRequest, make_refusal
 from ._pipeline import Relay
 from ._probing import LoadProber
+from ._rate_limits import RateLimitTracker
 from ._requests import RequestLog
 from ._reserved_slot import NO_FREE_SLOT, ReservedSlot
 from ._slot_finder import SlotFinder
@@ -22,6 +23,7 @@
     "Listener",
     "LoadProber",
     "SlotFinder",
+    "RateLimitTracker",
     "Relay",
     "RequestLog",
     "make_refusal",
--- a/src/crocusward/relay/_exchange.py
+++ b/src/crocusward/relay/_exchange.py
@@ -6,7 +6,7 @@
 from ..errors import ExchangeLostError, NotSentError
 from ..model import Record
 from ..neighbours import BackendObservation, ObservationKind
-from ..placing import BackendLoad
+from ..placing import NO_LIMIT, BackendLoad
 from ..platform import (
     BACKEND_ID_HEADER,
     BACKEND_LOAD_HEADER,
@@ -15,8 +15,11 @@
     DEADLINE_MS_HEADER,
     EXPECTED_BACKEND_HEADER,
     NOT_RUN,
+    RATE_LIMIT_HEADER,
     REQUEST_ID_HEADER,
+    parse_rate_limit,
 )
+from ..timing import boot_time_s
 from ..upstream import HOP_BY_HOP_NAMES, HttpAnswer, HttpPool, select_end_to_end_headers
 from ._messages import CallerAnswer, CallerRequest, Headers
 
@@ -124,6 +127,7 @@
         headers.append(
             (DEADLINE_MS_HEADER, b"%d" % max(1, int(time_left_s * MS_PER_S)))
         )
+        asked_s = boot_time_s()
         headers.append((EXPECTED_BACKEND_HEADER, entry.id.encode("ascii", "replace")))
         try:
             answer = await self._pool.request(
@@ -149,7 +153,10 @@
             return Exchange(
                 ExchangeEnd.UNKNOWN, BackendObservation(entry.id, kind), reason=str(exc)
             )
-        return _read_answer(entry.id, answer, req)
+        exchange = _read_answer(entry.id, answer, req)
+        exchange.observation.asked_s = asked_s
+        exchange.observation.answered_s = boot_time_s()
+        return exchange
 
     async def probe(
         self, load: BackendLoad, path: str, timeout_s: float
@@ -161,6 +168,7 @@
             server answered at its address.
         """
         address, port = load.entry.address
+        asked_s = boot_time_s()
         try:
             answer = await self._pool.request(
                 address, port, "GET", path, timeout_s=timeout_s, limit_bytes=4096
@@ -177,6 +185,9 @@
                 observation.cold_left_s = int(value) / MS_PER_S
             elif name == BACKEND_ID_HEADER and value.decode("latin-1") != load.entry.id:
                 return None
+        observation.asked_s = asked_s
+        observation.answered_s = boot_time_s()
+        _read_rate_limit(answer.headers, observation)
         return observation
 
     def _reduce_idle_limit(self, service: str, exc: ExchangeLostError) -> None:
@@ -224,6 +235,7 @@
         # Needs no header: another server answered, so the request has not run.
         observation.kind = ObservationKind.MISDIRECTED
         return Exchange(ExchangeEnd.NOT_RUN, observation, reason="misdirected")
+    _read_rate_limit(answer.headers, observation)
     if has_not_run_header and status >= 400:
         observation.kind = ObservationKind.REFUSED
         return Exchange(
@@ -260,6 +272,18 @@
     )
 
 
+def _read_rate_limit(headers: Headers, observation: BackendObservation) -> None:
+    """Record the rate limit that an answer names, or that it names none."""
+    values = [value for name, value in headers if name == RATE_LIMIT_HEADER]
+    if not values:
+        observation.rate_limit_per_s = NO_LIMIT
+        return
+    try:
+        observation.rate_limit_per_s = parse_rate_limit(values)
+    except ValueError as exc:
+        observation.rate_limit_error = str(exc)
+
+
 def _parse_load_report(value: bytes, observation: BackendObservation) -> None:
     """Parse a load report: running, waiting, slots and, if present, slowdown."""
     parts = value.split(b",")
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -23,6 +23,7 @@
 from ._exchange import BackendClient, Exchange, ExchangeEnd
 from ._hedging import LosingAttempts
 from ._messages import CallerAnswer, CallerRequest, make_refusal
+from ._rate_limits import RateLimitTracker
 from ._requests import Call, RequestLog
 from ._reserved_slot import NeighbourNotifier
 from ._slot_finder import MIN_ATTEMPT_TIME_S, SlotFinder
@@ -49,6 +50,7 @@
         notifier: Notifies neighbours.
         log: Logs requests and records their outcomes.
         invariants: Checks invariants at run time.
+        rate_limits: Applies the rate limits that servers name.
         memory_mb: Memory of the host, in MiB.
 
     Attributes:
@@ -72,6 +74,7 @@
         "_notifier",
         "_log",
         "_invariants",
+        "_rate_limits",
         "_slot_finder",
         "_split",
         "_reserved_body_bytes",
@@ -92,6 +95,7 @@
         notifier: NeighbourNotifier,
         log: RequestLog,
         invariants: Invariants,
+        rate_limits: RateLimitTracker,
         memory_mb: int,
     ) -> None:
         self.limits: CallerLimits = DEFAULT_LIMITS
@@ -107,6 +111,7 @@
         self._notifier = notifier
         self._log = log
         self._invariants = invariants
+        self._rate_limits = rate_limits
         self._slot_finder = slot_finder
         self._split = WeightedSplit()
         self._reserved_body_bytes = 0
@@ -351,6 +356,7 @@
             self._update_estimates(call, selection, result, begun_s)
             was_ejected = load.is_ejected(self._now())
             load.observe(observation, self._now())
+            self._rate_limits.observe(load, observation, call.selection_req.id)
             self._log.log_ejection_change(call, load, observation, was_ejected)
         self._notifier.notify_change(load, observation)
         self.dispatch_queued(call.selection_req.service)
--- a/src/crocusward/relay/_probing.py
+++ b/src/crocusward/relay/_probing.py
@@ -9,6 +9,7 @@
 from ..placing import BackendLoad, ServiceTimeModel
 from ..timing import TimerService
 from ._exchange import BackendClient
+from ._rate_limits import RateLimitTracker
 
 MAX_PROBE_WAIT_S = 0.03  # a slower probe would delay its request too much
 ALIVE_PROBE_WAIT_S = 0.1  # allows for several round trips between regions
@@ -32,6 +33,7 @@
         times: Learned slowdown of the services.
         client: Sends the probes.
         sampler: Logs probes without an answer.
+        rate_limits: Applies the rate limits that servers name.
 
     Attributes:
         probe_count: Number of probes sent so far.
@@ -44,6 +46,7 @@
         "_times",
         "_client",
         "_sampler",
+        "_rate_limits",
         "_probe_time_s",
         "_tasks",
     )
@@ -55,8 +58,10 @@
         times: ServiceTimeModel,
         client: BackendClient,
         sampler: EventSampler,
+        rate_limits: RateLimitTracker,
     ) -> None:
         self._sampler = sampler
+        self._rate_limits = rate_limits
         self.probe_count = 0
         self._timer = timer
         self._directory = directory
@@ -141,5 +146,6 @@
             )
             return None
         load.observe(observation, now_s)
+        self._rate_limits.observe(load, observation)
         self._times.observe_slowdown(service, observation.slowdown)
         return observation
--- a/src/crocusward/timing/__init__.py
+++ b/src/crocusward/timing/__init__.py
@@ -1,5 +1,5 @@
 """Timer service: clock, timers and sleep, replaceable in tests."""
 
-from ._timer import LoopTimer, Subscription, TimerService
+from ._timer import LoopTimer, Subscription, TimerService, boot_time_s
 
-__all__ = ["LoopTimer", "Subscription", "TimerService"]
+__all__ = ["LoopTimer", "Subscription", "TimerService", "boot_time_s"]
--- a/src/crocusward/timing/_timer.py
+++ b/src/crocusward/timing/_timer.py
@@ -2,12 +2,18 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Callable
 from typing import Protocol
 
 PERIOD_JITTER_SHARE = 0.1  # keeps hosts from acting in lockstep
 
 
+def boot_time_s() -> float:
+    """Return a monotonic time in seconds that goes on while the host is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class Subscription:
     """Handle of a delayed or periodic call."""
 
--- a/tests/entry_support.py
+++ b/tests/entry_support.py
@@ -21,8 +21,15 @@
     HostGroups,
     ServiceTimeModel,
 )
-from crocusward.relay import BackendClient, Listener, Relay, RequestLog, SlotFinder
-from crocusward.timing import LoopTimer
+from crocusward.relay import (
+    BackendClient,
+    Listener,
+    RateLimitTracker,
+    Relay,
+    RequestLog,
+    SlotFinder,
+)
+from crocusward.timing import LoopTimer, boot_time_s
 from crocusward.upstream import HttpPool
 
 from .raw_client import RawClient
@@ -100,6 +107,7 @@
         )
         sampler = EventSampler(self.timer.now, 0)
         self.invariants = Invariants()
+        self.rate_limits = RateLimitTracker(boot_time_s, sampler)
         self.places = SlotFinder(
             self.timer,
             self.directory,
@@ -120,6 +128,7 @@
             self.notifier,
             RequestLog(self.timer.now, self.directory, sampler),
             self.invariants,
+            self.rate_limits,
             100,
         )
         self.relay.limits = self.directory.state.limits
