--- a/src/crocusward/entryd/_exposition.py
+++ b/src/crocusward/entryd/_exposition.py
@@ -39,7 +39,7 @@
         age_s = min(1e9, now_s - follower.answered_s)
         lines.append(f'{PREFIX}table_age_seconds{{table="{table}"}} {age_s:.3f}')
     lines.append(f"# TYPE {PREFIX}rate_limit_events_total counter")
-    for event, count in process.rate_limits.changes.items():
+    for event, count in process.rate_limits.events.items():
         lines.append(f'{PREFIX}rate_limit_events_total{{event="{event}"}} {count}')
     return ("\n".join(lines) + "\n").encode("utf-8")
 
--- a/src/crocusward/entryd/_hub.py
+++ b/src/crocusward/entryd/_hub.py
@@ -15,13 +15,21 @@
     Message,
     NeighbourEndpoint,
     NeighbourTable,
+    RateLimitReport,
     SlotOffer,
     SlotRelease,
     SlotRequest,
 )
-from ..placing import BackendLoad, BackendLoadTable, Selection, SelectionRequest
-from ..relay import ReservedSlot
-from ..timing import Subscription, TimerService
+from ..placing import (
+    BackendLoad,
+    BackendLoadTable,
+    GroupMembers,
+    Selection,
+    SelectionRequest,
+)
+from ..relay import PermitAnswer, RateLimitTracker, ReservedSlot
+from ..timing import Subscription, TimerService, boot_time_s
+from ._rate_limit_exchange import RateLimitExchange
 from ._slot_broker import SlotBroker
 
 REPORT_PERIOD_S = 0.25  # a neighbour counts as silent after three lost reports
@@ -54,7 +62,10 @@
         on_report: Called after a report of newer rows.
         reserve_slot: Reserves a slot at a backend server here for another group.
         cancel_reservation: Releases such a slot.
+        issue_permit: Issues a permit for a rate-limited server to a neighbour.
         on_forgotten: Called with the name of a host that was removed as silent.
+        rate_limits: Applies the rate limits that neighbours report.
+        limit_clock: Clock of rate limits, in seconds.
 
     Attributes:
         is_leaving: Whether this daemon is stopping.
@@ -89,6 +100,7 @@
         "_subs",
         "_silent_hosts",
         "_hellos_left",
+        "_rate_limits",
     )
 
     def __init__(
@@ -108,7 +120,10 @@
         on_report: Callable[[], None],
         reserve_slot: Callable[..., Awaitable[Selection | None]],
         cancel_reservation: Callable[[tuple[str, int]], None],
+        issue_permit: Callable[..., Awaitable[PermitAnswer]],
         on_forgotten: Callable[[str], None],
+        rate_limits: RateLimitTracker,
+        limit_clock: Callable[[], float] = boot_time_s,
     ) -> None:
         self.is_leaving = False
         self._endpoint = NeighbourEndpoint(self._on_message, sampler)
@@ -127,8 +142,25 @@
         self._on_capacity = on_capacity
         self._on_report = on_report
         self._slot_broker = SlotBroker(
-            timer, rng, sampler, self._endpoint, reserve_slot, cancel_reservation
+            timer,
+            rng,
+            sampler,
+            self._endpoint,
+            reserve_slot,
+            cancel_reservation,
+            issue_permit,
+            self._neighbour_at,
+        )
+        self._rate_limits = RateLimitExchange(
+            facts.name,
+            limit_clock,
+            rng,
+            book,
+            rate_limits,
+            self._endpoint.send,
+            self._group_addresses,
         )
+        book.permits.members = self._list_members
         self._on_forgotten = on_forgotten
         self._hosts: dict[str, EntryHost] = {
             facts.name: EntryHost(facts.name, facts.address, facts.data_centre)
@@ -214,6 +246,7 @@
         log_event("neighbour_known", host=host.host, address=host.address)
         self._endpoint.send(self._make_hello(), [host.address])
         self._endpoint.send(self._make_report(is_complete=True), [host.address])
+        self._rate_limits.report_all()
 
     def _regroup(self) -> None:
         """Recompute the groups and the set of neighbours."""
@@ -236,6 +269,38 @@
             if is_own and not is_known:
                 self._add_neighbour(host)
 
+    def _group_addresses(self, group: str) -> list[str]:
+        """Return the addresses of the other hosts of a group."""
+        return [
+            host.address
+            for host in self._hosts.values()
+            if self._groups.of_host(host.host) == group
+            and host.host != self._facts.name
+        ]
+
+    def _neighbour_at(self, address: str) -> str:
+        """Return the name of the neighbour with an IP address, "" if there is none."""
+        for neighbour in self._neighbours.neighbours.values():
+            if neighbour.address == address:
+                return neighbour.host
+        return ""
+
+    def _list_members(self) -> GroupMembers:
+        """Return the hosts of this group that can issue permits."""
+        live = {
+            neighbour.host
+            for neighbour in self._neighbours.list_live(self._timer.now())
+            if not neighbour.is_leaving
+        }
+        staying = [
+            neighbour
+            for neighbour in self._neighbours.neighbours.values()
+            if not neighbour.is_leaving
+        ]
+        if not self.is_leaving:
+            live.add(self._facts.name)
+        return GroupMembers(sorted(live), len(staying) + (not self.is_leaving))
+
     # Messages.
 
     def _on_message(
@@ -255,6 +320,8 @@
         elif isinstance(message, IdleSummary):
             self._book.record_idle_shares(message.group, message.idle)
             self._idle_summaries[message.group] = message
+        elif isinstance(message, RateLimitReport):
+            self._rate_limits.apply(message)
         elif isinstance(message, SlotRequest | SlotRelease | SlotOffer):
             self._slot_broker.handle_message(message, sender)
         else:
@@ -355,6 +422,19 @@
             req, group, hosts, can_share, max_wait_s
         )
 
+    async def request_permit(
+        self, req: SelectionRequest, max_wait_s: float
+    ) -> ReservedSlot | None:
+        """Request a permit for a rate-limited server from its coordinator."""
+        now_s = self._timer.now()
+        name = self._book.permits.coordinator(req.service, now_s)
+        host = self._hosts.get(name)
+        if host is None or name == self._facts.name:
+            return None
+        return await self._slot_broker.request_slot(
+            req, self._groups.own, [host], True, max_wait_s
+        )
+
     def release(self, slot: ReservedSlot) -> None:
         """Release a slot that another group reserved."""
         self._slot_broker.release_slot(slot)
@@ -436,6 +516,7 @@
         self._schedule_report()
         if self._neighbours.neighbours:
             self._send_report(self._make_report(is_complete=True))
+            self._rate_limits.report_all()
         self._report_to_other_groups()
         self._check_silence()
 
--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -40,6 +40,7 @@
     Relay,
     RequestLog,
     SlotFinder,
+    SlotOffers,
 )
 from ..timing import LoopTimer, boot_time_s
 from ..upstream import AnswerMemoryBudget, HttpPool
@@ -112,6 +113,7 @@
         )
         self.store = RowClient(self._store_pool, facts.store)
         self.followers = {name: self._make_follower(name) for name in REPLICATED_TABLES}
+        self.rate_limits = RateLimitTracker(boot_time_s, self.sampler)
         self.hub = NeighbourHub(
             facts,
             time.time_ns() // 1_000_000,
@@ -126,9 +128,11 @@
             self._is_reader,
             lambda service: self.relay.dispatch_queued(service),
             lambda: self.row_replicator.pull_newer_rows(),
-            lambda *request: self.slot_finder.offer(*request),
-            lambda key: self.slot_finder.release_offer(key),
+            lambda *request: self.slot_offers.offer(*request),
+            lambda key: self.slot_offers.release_offer(key),
+            lambda *request: self.slot_offers.issue_permit(*request),
             self._on_forgotten,
+            self.rate_limits,
         )
         times = ServiceTimeModel()
         bounds = facts.bounds
@@ -144,7 +148,6 @@
             self._rng,
         )
         self.selector.cold_rate_factor = bounds.cold_rate_factor
-        self.rate_limits = RateLimitTracker(boot_time_s, self.sampler)
         self.slot_finder = SlotFinder(
             self.timer,
             self.directory,
@@ -161,6 +164,15 @@
                 self.rate_limits,
             ),
         )
+        self.slot_offers = SlotOffers(
+            self.timer,
+            self.directory,
+            self.load_table,
+            self.slot_finder,
+            self.hub,
+            self.sampler,
+            self.rate_limits,
+        )
         self.request_log = RequestLog(self.timer.now, self.directory, self.sampler)
         self.relay = Relay(
             self.timer,
--- a/src/crocusward/entryd/_slot_broker.py
+++ b/src/crocusward/entryd/_slot_broker.py
@@ -13,7 +13,7 @@
     SlotRequest,
 )
 from ..placing import Selection, SelectionRequest
-from ..relay import NO_FREE_SLOT, ReservedSlot
+from ..relay import NO_FREE_SLOT, PermitAnswer, ReservedSlot
 from ..timing import TimerService
 
 INITIAL_REPLY_TIME_S = 0.1  # assumed for a group before its first answer
@@ -33,6 +33,8 @@
         endpoint: Sends messages.
         reserve_slot: Reserves a slot at a backend server of this group.
         cancel_reservation: Releases such a slot.
+        issue_permit: Issues a permit for a rate-limited server to a neighbour.
+        neighbour_at: Returns the neighbour with an IP address, "" if there is none.
     """
 
     __slots__ = (
@@ -42,6 +44,8 @@
         "_endpoint",
         "_reserve_slot",
         "_cancel_reservation",
+        "_issue_permit",
+        "_neighbour_at",
         "_answer_tasks",
         "_pending_offers",
         "_reply_times_s",
@@ -57,6 +61,8 @@
         endpoint: NeighbourEndpoint,
         reserve_slot: Callable[..., Awaitable[Selection | None]],
         cancel_reservation: Callable[[tuple[str, int]], None],
+        issue_permit: Callable[..., Awaitable[PermitAnswer]],
+        neighbour_at: Callable[[str], str],
     ) -> None:
         self._timer = timer
         self._rng = rng
@@ -64,7 +70,9 @@
         self._endpoint = endpoint
         self._reserve_slot = reserve_slot
         self._cancel_reservation = cancel_reservation
-        self._answer_tasks: set[asyncio.Task[None]] = set()
+        self._issue_permit = issue_permit
+        self._neighbour_at = neighbour_at
+        self._answer_tasks: dict[tuple[str, int], asyncio.Task[None]] = {}
         self._pending_offers: dict[int, asyncio.Future[SlotOffer]] = {}
         self._reply_times_s: dict[str, float] = {}
         self._paused_until_s: dict[str, float] = {}
@@ -135,7 +143,12 @@
             took_s=took_s,
         )
         return ReservedSlot(
-            offer.backend, host.address, token, offer.slowdown, offer.in_flight
+            offer.backend,
+            host.address,
+            token,
+            offer.slowdown,
+            offer.in_flight,
+            offer.retry_after_s,
         )
 
     async def _send_request(
@@ -149,6 +162,10 @@
                 return await fut
         except TimeoutError:
             return None
+        except asyncio.CancelledError:
+            # The request no longer waits there.
+            self._endpoint.send(SlotRelease(request.token), [host.address])
+            raise
         finally:
             del self._pending_offers[request.token]
 
@@ -160,8 +177,12 @@
         self, message: SlotRequest | SlotRelease | SlotOffer, sender: str
     ) -> None:
         """Handle a slot request, offer or release from another host."""
+        key = (sender, message.token)
         if isinstance(message, SlotRelease):
-            self._cancel_reservation((sender, message.token))
+            answer_task = self._answer_tasks.get(key)
+            if answer_task is not None:
+                answer_task.cancel()
+            self._cancel_reservation(key)
         elif isinstance(message, SlotOffer):
             fut = self._pending_offers.get(message.token)
             if fut is not None and not fut.done():
@@ -173,10 +194,14 @@
             task = asyncio.get_running_loop().create_task(
                 self._answer_request(message, sender)
             )
-            self._answer_tasks.add(task)
-            task.add_done_callback(self._answer_tasks.discard)
+            self._answer_tasks[key] = task
+            task.add_done_callback(lambda _: self._answer_tasks.pop(key, None))
 
     async def _answer_request(self, request: SlotRequest, sender: str) -> None:
+        neighbour = self._neighbour_at(sender)
+        if neighbour:
+            await self._answer_permit_request(request, neighbour, sender)
+            return
         selection = await self._reserve_slot(
             (sender, request.token),
             request.service,
@@ -193,3 +218,22 @@
             )
             offer.in_flight = int(selection.in_flight)
         self._endpoint.send(offer, [sender])
+
+    async def _answer_permit_request(
+        self, request: SlotRequest, neighbour: str, sender: str
+    ) -> None:
+        """Answer a host of this group, which needs a slot only at a limited server."""
+        answer = await self._issue_permit(
+            neighbour,
+            request.service,
+            request.route,
+            request.service_time_s,
+            request.max_wait_s,
+        )
+        offer = SlotOffer(request.token, NO_FREE_SLOT)
+        if answer.load is None:
+            offer.retry_after_s = answer.retry_after_s
+        else:
+            offer.backend = answer.load.entry.id
+            offer.in_flight = int(answer.in_flight)
+        self._endpoint.send(offer, [sender])
--- a/src/crocusward/invariants/_checks.py
+++ b/src/crocusward/invariants/_checks.py
@@ -21,6 +21,7 @@
     AT_MOST_ONCE = "at_most_once"
     BACKEND_LEAVING = "backend_leaving"
     GRACEFUL_STOP = "graceful_stop"
+    RATE_LIMIT = "rate_limit"
     CONFIG_MONOTONIC = "config_monotonic"
 
 
--- a/src/crocusward/neighbours/_codec.py
+++ b/src/crocusward/neighbours/_codec.py
@@ -13,6 +13,7 @@
     IdleSummary,
     MemberList,
     ObservationKind,
+    RateLimitReport,
     SlotOffer,
     SlotRelease,
     SlotRequest,
@@ -26,6 +27,8 @@
 SLOT_OFFER = 5
 IDLE_SUMMARY = 6
 SLOT_RELEASE = 7
+RATE_LIMITS = 8
+MAX_RATE_LIMIT_PER_S = 1e9  # above any value that a server may name
 
 Message = (
     Hello
@@ -35,6 +38,7 @@
     | SlotOffer
     | SlotRelease
     | IdleSummary
+    | RateLimitReport
 )
 
 
@@ -66,16 +70,19 @@
         return cbor2.dumps([SLOT_RELEASE, message.token])
     if isinstance(message, IdleSummary):
         return cbor2.dumps([IDLE_SUMMARY, message.group, message.idle])
+    if isinstance(message, RateLimitReport):
+        return cbor2.dumps([RATE_LIMITS, message.host, message.limits])
     if isinstance(message, SlotOffer):
-        return cbor2.dumps(
-            [
-                SLOT_OFFER,
-                message.token,
-                message.backend,
-                message.slowdown,
-                message.in_flight,
-            ]
-        )
+        offer: list[Any] = [
+            SLOT_OFFER,
+            message.token,
+            message.backend,
+            message.slowdown,
+            message.in_flight,
+        ]
+        if message.retry_after_s > 0.0:
+            offer.append(message.retry_after_s)
+        return cbor2.dumps(offer)
     hosts = [_encode_host(item) for item in message.hosts]
     return cbor2.dumps([MEMBER_LIST, hosts])
 
@@ -135,9 +142,17 @@
         if kind == IDLE_SUMMARY:
             return _decode_idle_summary(fields[1:])
         if kind == SLOT_OFFER:
-            _, token, backend, slowdown, in_flight = fields
+            _, token, backend, slowdown, in_flight, *rest = fields
             _check_three_strings([backend, "", ""])
-            return SlotOffer(int(token), backend, float(slowdown), int(in_flight))
+            return SlotOffer(
+                int(token),
+                backend,
+                float(slowdown),
+                int(in_flight),
+                float(rest[0]) if rest else 0.0,
+            )
+        if kind == RATE_LIMITS:
+            return RateLimitReport(*_check_rate_limits(fields[1], fields[2]))
         if kind == MEMBER_LIST:
             return MemberList(
                 [EntryHost(*_check_three_strings(item)) for item in fields[1]]
@@ -188,6 +203,19 @@
     return IdleSummary(group, _check_counts(idle))
 
 
+def _check_rate_limits(
+    host: Any, limits: Any
+) -> tuple[str, dict[str, tuple[float, float]]]:
+    _check_three_strings([host, "", ""])
+    checked = {}
+    for id, (per_s, age_s) in limits.items():
+        # False also for values that are not numbers.
+        if not (0.0 <= per_s <= MAX_RATE_LIMIT_PER_S and age_s >= 0.0):
+            raise ValueError("malformed rate limit")
+        checked[str(id)] = (float(per_s), float(age_s))
+    return host, checked
+
+
 def _check_counts(items: Any, minimum: int = 0) -> dict[str, int]:
     for name, count in items.items():
         if not isinstance(name, str) or type(count) is not int or count < minimum:
--- a/src/crocusward/neighbours/_messages.py
+++ b/src/crocusward/neighbours/_messages.py
@@ -152,6 +152,22 @@
         self.idle_summaries = list(idle_summaries)
 
 
+class RateLimitReport(Record):
+    """Rate limits of backend servers that a host knows.
+
+    Attributes:
+        host: Name of the host.
+        limits: Limit in requests per second and age of that knowledge in seconds, by
+            backend server. 0.0 if a limit has ended, as the host saw itself.
+    """
+
+    __slots__ = ("host", "limits")
+
+    def __init__(self, host: str, limits: Mapping[str, tuple[float, float]]) -> None:
+        self.host = host
+        self.limits = dict(limits)
+
+
 class Hello(Record):
     """Announces a daemon and requests the member list of the receiver.
 
@@ -213,17 +229,25 @@
         backend: Id of the server with the reserved slot, "" if there is none.
         slowdown: Slowdown of its machine; 1.0 is unloaded, 0.0 unknown.
         in_flight: Other requests at the server.
+        retry_after_s: When a slot is expected, if there is none; 0.0 if unknown. Sent
+            only by the coordinator of a rate-limited service.
     """
 
-    __slots__ = ("token", "backend", "slowdown", "in_flight")
+    __slots__ = ("token", "backend", "slowdown", "in_flight", "retry_after_s")
 
     def __init__(
-        self, token: int, backend: str, slowdown: float = 0.0, in_flight: int = 0
+        self,
+        token: int,
+        backend: str,
+        slowdown: float = 0.0,
+        in_flight: int = 0,
+        retry_after_s: float = 0.0,
     ) -> None:
         self.token = token
         self.backend = backend
         self.slowdown = slowdown
         self.in_flight = in_flight
+        self.retry_after_s = retry_after_s
 
 
 class SlotRelease(Record):
--- a/src/crocusward/placing/__init__.py
+++ b/src/crocusward/placing/__init__.py
@@ -8,10 +8,17 @@
 from ._groups import HostGroups, data_centre_of
 from ._load import BackendLoad
 from ._load_table import BackendLoadTable
+from ._permits import GroupMembers, PermitIssuer
 from ._queue import QueuedRequest, RequestQueue
-from ._rate_limit import NO_LIMIT, ServerRateLimit
+from ._rate_limit import NO_LIMIT, PermitBucket, ServerRateLimit
 from ._retry_budget import FleetRetryBudget
-from ._selection import Refused, Selection, SelectionRequest, SelectionVerdict
+from ._selection import (
+    LimitedServers,
+    Refused,
+    Selection,
+    SelectionRequest,
+    SelectionVerdict,
+)
 from ._selector import BackendSelector
 from ._service_times import ServiceTimeModel
 from ._split import WeightedSplit
@@ -22,7 +29,11 @@
     "BackendLoadTable",
     "BackendSelector",
     "FleetRetryBudget",
+    "GroupMembers",
     "HostGroups",
+    "LimitedServers",
+    "PermitBucket",
+    "PermitIssuer",
     "QueuedRequest",
     "Refused",
     "RemoteRegionFallback",
--- a/src/crocusward/placing/_candidates.py
+++ b/src/crocusward/placing/_candidates.py
@@ -1,5 +1,7 @@
 """Candidate backend servers of one selection, with their scores."""
 
+import math
+
 from ._load import BackendLoad
 from ._service_times import ServiceTimeModel
 
@@ -52,6 +54,8 @@
         usable_count: Number of servers that may run it, including full ones.
         usable_in_group: Number of usable servers in this group.
         count_idle: Number of usable servers without a request.
+        limited_count: Number of usable servers in this group with a rate limit.
+        without_permit_count: Number of those that may get no request now.
         completions_per_service_time: Requests that this group completes in one
             service time.
         candidates: Servers with a free slot, in the end by rising score.
@@ -65,6 +69,8 @@
         "usable_count",
         "usable_in_group",
         "count_idle",
+        "limited_count",
+        "without_permit_count",
         "completions_per_service_time",
         "candidates",
     )
@@ -77,15 +83,33 @@
         self.usable_count = 0
         self.usable_in_group = 0
         self.count_idle = 0
+        self.limited_count = 0
+        self.without_permit_count = 0
         self.completions_per_service_time = 0.0
         self.candidates: list[Candidate] = []
 
     def add_usable(
-        self, load: BackendLoad, in_flight: float, is_own_group: bool, now_s: float
+        self,
+        load: BackendLoad,
+        in_flight: float,
+        is_own_group: bool,
+        now_s: float,
+        *,
+        max_completions: float = math.inf,
+        has_permit: bool = True,
     ) -> None:
-        """Count a usable server."""
+        """Count a usable server.
+
+        Args:
+            load: The server.
+            in_flight: Requests in flight there.
+            is_own_group: Whether it belongs to this group.
+            now_s: Monotonic time.
+            max_completions: Requests in one service time that its rate limit allows.
+            has_permit: Whether its rate limit allows a request now.
+        """
         self.usable_count += 1
-        self.count_idle += in_flight < 1.0
+        self.count_idle += in_flight < 1.0 and has_permit
         if is_own_group:
             self.usable_in_group += 1
             cold_factor = COLD_FACTOR if load.is_cold(now_s) else 1.0
@@ -94,4 +118,8 @@
                 * cold_factor
                 * max(1.0, load.latency_ratio(now_s))
             )
-            self.completions_per_service_time += load.entry.slots / latency_factor
+            self.completions_per_service_time += min(
+                load.entry.slots / latency_factor, max_completions
+            )
+            self.limited_count += max_completions < math.inf
+            self.without_permit_count += not has_permit
--- a/src/crocusward/placing/_groups.py
+++ b/src/crocusward/placing/_groups.py
@@ -21,13 +21,14 @@
         data_centre: Data centre of this host.
 
     Attributes:
+        host: Name of this host.
         own: Name of the group of this host.
     """
 
-    __slots__ = ("own", "_host", "_data_centre", "_group_by_host", "_group_counts")
+    __slots__ = ("own", "host", "_data_centre", "_group_by_host", "_group_counts")
 
     def __init__(self, host: str, data_centre: str) -> None:
-        self._host = host
+        self.host = host
         self._data_centre = data_centre
         self._group_by_host: dict[str, str] = {}
         self._group_counts: dict[str, int] = {}
@@ -46,9 +47,7 @@
             for index, name in enumerate(ordered):
                 group_index = index * count // len(ordered)
                 self._group_by_host[name] = _group_name(data_centre, group_index)
-        self.own = self._group_by_host.get(
-            self._host, _group_name(self._data_centre, 0)
-        )
+        self.own = self._group_by_host.get(self.host, _group_name(self._data_centre, 0))
         return self._group_by_host != before
 
     def of_host(self, host: str) -> str:
--- a/src/crocusward/placing/_load.py
+++ b/src/crocusward/placing/_load.py
@@ -5,7 +5,7 @@
 
 from ..desired import BackendEntry
 from ..neighbours import BackendObservation, ObservationKind
-from ._rate_limit import ServerRateLimit
+from ._rate_limit import PermitBucket, ServerRateLimit
 
 # The slowdown of shared machines changes many times a second.
 SLOWDOWN_DECAY_S = 0.15
@@ -43,6 +43,7 @@
         ejected_until_s: Monotonic time until which it is ejected.
         cold_until_s: Monotonic time until which it is cold.
         rate_limit: Request rate that it takes from all hosts together.
+        permits: Tokens of that rate, while there is a limit.
         idle_connections: Number of idle connections of this host to it.
         sent_times_s: Monotonic send times of this host's requests in flight.
         probe_missed_s: Monotonic time of this host's last unanswered probe.
@@ -60,6 +61,7 @@
         "ejected_until_s",
         "cold_until_s",
         "rate_limit",
+        "permits",
         "idle_connections",
         "sent_times_s",
         "probe_missed_s",
@@ -89,6 +91,7 @@
         self.ejected_until_s = -1.0
         self.cold_until_s = -1.0
         self.rate_limit = ServerRateLimit()
+        self.permits = PermitBucket()
         self.idle_connections = 0
         self.sent_times_s: list[float] = []
         self.probe_missed_s = -1e9
@@ -118,6 +121,10 @@
         self.has_been_tried = True
         self._count_send(now_s)
 
+    def keep_reserved(self, sent_s: float) -> None:
+        """Turn a request of this host into a slot reserved for another host."""
+        self.sent_times_s.remove(sent_s)
+
     def end(self, sent_s: float) -> None:
         """Count the end of a request of this host."""
         self.own_in_flight -= 1
@@ -136,7 +143,7 @@
             self.neighbour_in_flight.pop(host, None)
         for _ in range(count - before):
             self.has_been_tried = True
-            self._count_send(now_s)
+            self._count_send(now_s, host)
 
     def in_flight(self, now_s: float) -> float:
         """Return the requests in flight: own, of neighbours, and unattributed ones."""
@@ -144,8 +151,10 @@
         unattributed = self._unattributed if age_s < UNATTRIBUTED_MEMORY_S else 0.0
         return self.own_in_flight + self._neighbour_total + unattributed
 
-    def _count_send(self, now_s: float) -> None:
+    def _count_send(self, now_s: float, host: str = "") -> None:
         self._recent_sends.append(now_s)
+        if self.rate_limit:
+            self.permits.count_send(host, now_s)
         while self._recent_sends and now_s - self._recent_sends[0] > COLD_WINDOW_S:
             self._recent_sends.popleft()
 
--- a/src/crocusward/placing/_load_table.py
+++ b/src/crocusward/placing/_load_table.py
@@ -6,6 +6,7 @@
 from ..neighbours import HostReport
 from ._groups import HostGroups
 from ._load import BackendLoad
+from ._permits import PermitIssuer
 
 IDLE_SHARE_LIFETIME_S = 2.5  # five of the longest periods of summaries, 0.5 s
 
@@ -23,6 +24,7 @@
         loads: Load of each backend server, by id.
         by_service: The same loads, by service.
         groups: Groups of hosts.
+        permits: Permits for rate-limited servers of this group.
     """
 
     __slots__ = (
@@ -33,6 +35,7 @@
         "_unix_ms",
         "_idle_shares",
         "groups",
+        "permits",
         "_by_group",
     )
 
@@ -47,6 +50,7 @@
         self.by_service: dict[str, list[BackendLoad]] = {}
         self._idle_shares: dict[tuple[str, str], tuple[float, float]] = {}
         self.groups = groups
+        self.permits = PermitIssuer(groups.host)
         self._by_group: dict[tuple[str, str], list[BackendLoad]] | None = None
         self._directory = directory
         self._now = now
@@ -188,7 +192,10 @@
                 if x.entry.data_centre not in self._directory.data_centres_out
             ]
             if own_loads:
-                idle = sum(load.in_flight(now_s) < 1.0 for load in own_loads)
+                idle = sum(
+                    load.in_flight(now_s) < 1.0 and self.permits.has_token(load, now_s)
+                    for load in own_loads
+                )
                 found[service] = 100 * idle // len(own_loads)
         return found
 
--- a/src/crocusward/placing/_queue.py
+++ b/src/crocusward/placing/_queue.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Iterator
 
-from ._selection import Selection, SelectionRequest
+from ._selection import LimitedServers, Selection, SelectionRequest
 
 
 class QueuedRequest:
@@ -13,10 +13,11 @@
         req: The request.
         enqueued_at_s: Monotonic time when it was queued.
         can_share: Whether it accepts a server that already has a request.
+        limited: Which servers it may use, by their rate limits.
         fut: Future of the selection; a refusal is set as its exception.
     """
 
-    __slots__ = ("req", "enqueued_at_s", "can_share", "fut")
+    __slots__ = ("req", "enqueued_at_s", "can_share", "limited", "fut")
 
     def __init__(
         self,
@@ -24,10 +25,12 @@
         enqueued_at_s: float,
         can_share: bool,
         fut: "asyncio.Future[Selection]",
+        limited: LimitedServers = LimitedServers.ALLOWED,
     ) -> None:
         self.req = req
         self.enqueued_at_s = enqueued_at_s
         self.can_share = can_share
+        self.limited = limited
         self.fut = fut
 
 
--- a/src/crocusward/placing/_selection.py
+++ b/src/crocusward/placing/_selection.py
@@ -30,6 +30,14 @@
     WAIT = "wait"
 
 
+class LimitedServers(Enum):
+    """Which servers a selection may use, by their rate limits."""
+
+    ALLOWED = "allowed"
+    EXCLUDED = "excluded"  # only servers without a limit, for hosts without a permit
+    REQUIRED = "required"  # only servers with a limit, to issue a permit
+
+
 class SelectionRequest(Record):
     """Requirements of a request for a backend server.
 
@@ -104,6 +112,10 @@
         is_slowdown_current: Whether that report is fresh, or the service sends none.
         release: Releases a slot that another group reserved, or None.
         begun_s: Monotonic time when the request was counted at the server, or None.
+        needs_permit: Whether the coordinator must issue a permit for the server first.
+        limited_count: Number of usable servers in this group with a rate limit.
+        without_permit_count: Number of those that may get no request now.
+        completions_per_s: Requests that this group completes in a second.
     """
 
     __slots__ = (
@@ -123,6 +135,10 @@
         "is_slowdown_current",
         "release",
         "begun_s",
+        "needs_permit",
+        "limited_count",
+        "without_permit_count",
+        "completions_per_s",
     )
 
     def __init__(
@@ -148,6 +164,10 @@
         self.is_slowdown_current = False
         self.release: Callable[[], None] | None = None
         self.begun_s: float | None = None
+        self.needs_permit = False
+        self.limited_count = 0
+        self.without_permit_count = 0
+        self.completions_per_s = 0.0
 
     def copy_from(self, other: "Selection") -> None:
         """Copy all fields of another selection."""
--- a/src/crocusward/placing/_selector.py
+++ b/src/crocusward/placing/_selector.py
@@ -8,7 +8,13 @@
 from ._groups import data_centre_of
 from ._load import SLOWDOWN_DECAY_S, BackendLoad
 from ._load_table import BackendLoadTable
-from ._selection import Refused, Selection, SelectionRequest, SelectionVerdict
+from ._selection import (
+    LimitedServers,
+    Refused,
+    Selection,
+    SelectionRequest,
+    SelectionVerdict,
+)
 from ._service_times import ServiceTimeModel
 
 # Costs of leaving the group, data centre or region, as multiples of the service time.
@@ -40,6 +46,7 @@
 FAILURE_SCORE_WEIGHT = 3.0  # service times per recent failure
 SILENT_FACTOR = 2.5  # expected times without an answer that make a server suspect
 MIN_SILENT_S = 0.1
+PERMIT_COST_S = 0.002  # a message to the coordinator and back
 REMAINING_SERVICE_SHARE = 0.5  # of a request already running, on average
 MIN_WAIT_S = 0.004
 MIN_RETRY_AFTER_S = 0.1
@@ -163,6 +170,7 @@
         can_wait: bool = True,
         own_group_only: bool = False,
         avoid: Collection[str] = (),
+        limited: LimitedServers = LimitedServers.ALLOWED,
     ) -> Selection:
         """Select a server for a request, or have it wait.
 
@@ -173,6 +181,7 @@
             can_wait: Whether it may wait for an idle server.
             own_group_only: Whether to consider only servers of this group.
             avoid: Groups without a free slot.
+            limited: Which servers it may use, by their rate limits.
 
         Raises:
             Refused: No server can answer it in time.
@@ -184,7 +193,7 @@
                 "the service is unknown", MAX_RETRY_AFTER_S, code="no_service"
             )
         candidate_set = self._collect_candidates(
-            req, rule, now_s, own_group_only, avoid
+            req, rule, now_s, own_group_only, avoid, limited
         )
         if not candidate_set.usable_count:
             raise Refused(
@@ -201,13 +210,15 @@
         now_s: float,
         own_group_only: bool,
         avoid: Collection[str],
+        limited: LimitedServers,
     ) -> CandidateSet:
         """Score the servers that may run a request."""
         candidate_set = CandidateSet(self._service_times, req.service)
         own_group = self._load_table.groups.own
-        allowed = self._filter_allowed(
-            self._load_table.in_group(req.service, own_group), req
-        )
+        own_loads = self._load_table.in_group(req.service, own_group)
+        permits = self._load_table.permits
+        permits.take_over(req.service, own_loads, now_s)
+        allowed = self._filter_allowed(own_loads, req)
         if not own_group_only and not self._has_idle(allowed, req, now_s):
             others = self._load_table.by_service.get(req.service, [])
             if len(others) > MAX_SAMPLED_BACKENDS:
@@ -223,8 +234,24 @@
             in_flight = load.in_flight(now_s)
             if not is_own_group:
                 in_flight = max(in_flight, self._estimate_in_flight(load, now_s))
-            candidate_set.add_usable(load, in_flight, is_own_group, now_s)
-            if load.group in avoid or in_flight + 1.0 > entry.slots:
+            has_permit = True
+            if is_own_group and load.rate_limit:
+                has_permit = permits.has_token(load, now_s)
+                rate_per_s = permits.rate_per_s(load, now_s)
+                candidate_set.add_usable(
+                    load,
+                    in_flight,
+                    is_own_group,
+                    now_s,
+                    max_completions=rate_per_s * req.service_time_s,
+                    has_permit=has_permit,
+                )
+                has_permit = has_permit and limited is not LimitedServers.EXCLUDED
+            elif limited is LimitedServers.REQUIRED:
+                continue
+            else:
+                candidate_set.add_usable(load, in_flight, is_own_group, now_s)
+            if load.group in avoid or in_flight + 1.0 > entry.slots or not has_permit:
                 continue
             if not self._has_cold_budget(load, rule, now_s):
                 continue
@@ -248,8 +275,10 @@
     ) -> bool:
         """Return whether any server is idle and eligible for a request."""
         is_panicking = self._is_panicking(loads, now_s)
+        permits = self._load_table.permits
         return any(
             load.in_flight(now_s) < 1.0
+            and permits.has_token(load, now_s)
             and self._is_eligible(load, req, now_s, is_panicking)
             for load in loads
         )
@@ -283,11 +312,14 @@
         selection.candidate_count = len(candidate_set.candidates)
         selection.idle_share = candidate_set.count_idle / candidate_set.usable_count
         selection.usable_in_group = candidate_set.usable_in_group
+        selection.limited_count = candidate_set.limited_count
+        selection.without_permit_count = candidate_set.without_permit_count
+        selection.completions_per_s = rate / req.service_time_s
         selection.max_wait_s = self._max_wait_s(
             req, candidate_set.concurrency_slowdown, now_s
         )
         if best is None:
-            self._check_deadline(req, wait_s, now_s)
+            self._check_deadline(req, wait_s, now_s, candidate_set)
             selection.max_wait_s = max(MIN_WAIT_S, req.deadline_s - now_s - fast_s)
             return selection
         selection.probe_targets = self._probe_targets(candidate_set, best)
@@ -307,10 +339,13 @@
                     self._add_jitter(MIN_RETRY_AFTER_S),
                     code="no_time",
                 )
-        if best.in_flight >= 1.0:
+        own_group = self._load_table.groups.own
+        is_limited = bool(best.load.rate_limit) and best.load.group == own_group
+        if best.in_flight >= 1.0 or is_limited:
             if ahead:
-                self._check_deadline(req, wait_s, now_s)
+                self._check_deadline(req, wait_s, now_s, candidate_set)
                 return selection
+        if best.in_flight >= 1.0:
             slack_s = req.objective_s - now_s - best.expected_s
             is_wait_shorter = (
                 wait_s + req.service_time_s < best.score_s and slack_s > 0.0
@@ -319,6 +354,7 @@
                 return selection
         selection.verdict = SelectionVerdict.PLACE
         selection.load = best.load
+        selection.needs_permit = is_limited and not self._is_coordinator(req, now_s)
         selection.in_flight = best.in_flight
         selection.expected_s = best.expected_s
         selection.slowdown_age_s = best.load.slowdown_age_s(now_s)
@@ -362,6 +398,9 @@
             return objective_wait_s
         return req.deadline_s - now_s - fast_s / MIN_SERVICE_TIME_FACTOR
 
+    def _is_coordinator(self, req: SelectionRequest, now_s: float) -> bool:
+        return self._load_table.permits.is_coordinator(req.service, now_s)
+
     def _filter_allowed(
         self, loads: Sequence[BackendLoad], req: SelectionRequest
     ) -> list[BackendLoad]:
@@ -444,6 +483,7 @@
             candidate_set.has_slowdown_reports
             and load.group == self._load_table.groups.own
             and not load.is_cold(now_s)
+            and (not load.rate_limit or self._is_coordinator(req, now_s))
             and load.slowdown_age_s(now_s) > FRESH_SLOWDOWN_S
             and load.can_probe(now_s)
         )
@@ -468,6 +508,8 @@
                 penalty_s += req.service_time_s * OTHER_GROUP_COST_FACTOR
         if not load.idle_connections:
             penalty_s += CONNECT_COST_S
+        if load.rate_limit and not self._is_coordinator(req, now_s):
+            penalty_s += PERMIT_COST_S
         if in_flight >= 1.0:
             # The requests already running there become slower as well.
             penalty_s += (
@@ -497,16 +539,41 @@
         return max(MIN_WAIT_S, min(cost_s, slack_s))
 
     def _check_deadline(
-        self, req: SelectionRequest, wait_s: float, now_s: float
+        self,
+        req: SelectionRequest,
+        wait_s: float,
+        now_s: float,
+        candidate_set: CandidateSet,
     ) -> None:
         left_s = req.deadline_s - now_s
-        if wait_s + req.service_time_s > left_s:
-            raise Refused(
-                f"an answer would take {wait_s + req.service_time_s:.2f} s"
-                f" of {left_s:.2f} s",
-                self._add_jitter(wait_s),
-                code="no_time",
-            )
+        if wait_s + req.service_time_s <= left_s:
+            return
+        took_s = wait_s + req.service_time_s
+        reason = f"an answer would take {took_s:.2f} s of {left_s:.2f} s"
+        if candidate_set.without_permit_count:
+            reason += f", {candidate_set.without_permit_count} servers at their limit"
+        raise Refused(
+            reason,
+            self._add_jitter(wait_s),
+            code="rate_limited" if candidate_set.without_permit_count else "no_time",
+        )
+
+    def refuse_for_limits(
+        self, req: SelectionRequest, wait_s: float, now_s: float
+    ) -> Refused:
+        """Return the refusal of a queued request that cannot be served in time.
+
+        Args:
+            req: The request.
+            wait_s: Expected further wait.
+            now_s: Monotonic time.
+        """
+        return Refused(
+            f"an answer would take {wait_s + req.service_time_s:.2f} s of"
+            f" {req.deadline_s - now_s:.2f} s, servers at their limit",
+            self._add_jitter(wait_s),
+            code="rate_limited",
+        )
 
     def _add_jitter(self, delay_s: float) -> float:
         delay_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, delay_s))
--- a/src/crocusward/relay/__init__.py
+++ b/src/crocusward/relay/__init__.py
@@ -4,12 +4,14 @@
 from ._exchange import BackendClient, Exchange, ExchangeEnd
 from ._listener import Listener
 from ._messages import CallerAnswer, CallerRequest, make_refusal
+from ._permits import PermitAnswer
 from ._pipeline import Relay
 from ._probing import LoadProber
 from ._rate_limits import RateLimitTracker
 from ._requests import RequestLog
 from ._reserved_slot import NO_FREE_SLOT, ReservedSlot
 from ._slot_finder import SlotFinder
+from ._slot_offers import SlotOffers
 
 __all__ = [
     "NO_FREE_SLOT",
@@ -22,7 +24,9 @@
     "ReservedSlot",
     "Listener",
     "LoadProber",
+    "PermitAnswer",
     "SlotFinder",
+    "SlotOffers",
     "RateLimitTracker",
     "Relay",
     "RequestLog",
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -311,6 +311,11 @@
             or not (call.may_have_run or call.attempts),
             "a request that may have run is sent again",
         )
+        self._invariants.check(
+            InvariantName.RATE_LIMIT,
+            not selection.needs_permit,
+            "a request is sent to a rate-limited server without a permit",
+        )
         call.tried_ids.add(load.entry.id)
         call.attempts += 1
         self._notifier.notify_change(load, None)
--- a/src/crocusward/relay/_rate_limits.py
+++ b/src/crocusward/relay/_rate_limits.py
@@ -5,7 +5,7 @@
 
 from ..logs import EventSampler, Level
 from ..neighbours import BackendObservation
-from ..placing import NO_LIMIT, BackendLoad
+from ..placing import NO_LIMIT, BackendLoad, PermitBucket
 
 OWN_HOST = ""  # source of a limit that this host learned from the server itself
 
@@ -20,14 +20,14 @@
     Attributes:
         on_change: Called with the server after a change that an answer to this host
             brought.
-        changes: Number of changes by event name.
+        events: Number of changes, permits and denials, by name of the event.
     """
 
-    __slots__ = ("on_change", "changes", "_now", "_sampler")
+    __slots__ = ("on_change", "events", "_now", "_sampler")
 
     def __init__(self, now: Callable[[], float], sampler: EventSampler) -> None:
         self.on_change: Callable[[BackendLoad], object] | None = None
-        self.changes: Counter[str] = Counter()
+        self.events: Counter[str] = Counter()
         self._now = now
         self._sampler = sampler
 
@@ -69,6 +69,7 @@
         self, load: BackendLoad, before: float, host: str, request_id: str
     ) -> None:
         if before == NO_LIMIT:
+            load.permits = PermitBucket()
             name = "backend_limit_learned"
         elif load.rate_limit:
             name = "backend_limit_changed"
@@ -79,7 +80,7 @@
     def _log(
         self, name: str, load: BackendLoad, level: Level = Level.INFO, **fields: object
     ) -> None:
-        self.changes[name] += 1
+        self.events[name] += 1
         self._sampler.log(
             name,
             level,
--- a/src/crocusward/relay/_requests.py
+++ b/src/crocusward/relay/_requests.py
@@ -84,6 +84,7 @@
             pace=selection.slowdown,
             pace_age_s=selection.slowdown_age_s,
             attempt=call.attempts,
+            at_limit=selection.without_permit_count,
         )
 
     def log_ejection_change(
--- a/src/crocusward/relay/_reserved_slot.py
+++ b/src/crocusward/relay/_reserved_slot.py
@@ -18,9 +18,17 @@
         token: Number of the slot request.
         slowdown: Slowdown of the server's machine; 1.0 is unloaded, 0.0 unknown.
         in_flight: Other requests in flight at the server.
+        retry_after_s: When a slot is expected, if there is none; 0.0 if unknown.
     """
 
-    __slots__ = ("backend", "address", "token", "slowdown", "in_flight")
+    __slots__ = (
+        "backend",
+        "address",
+        "token",
+        "slowdown",
+        "in_flight",
+        "retry_after_s",
+    )
 
     def __init__(
         self,
@@ -29,12 +37,14 @@
         token: int,
         slowdown: float = 0.0,
         in_flight: int = 0,
+        retry_after_s: float = 0.0,
     ) -> None:
         self.backend = backend
         self.address = address
         self.token = token
         self.slowdown = slowdown
         self.in_flight = in_flight
+        self.retry_after_s = retry_after_s
 
 
 class NeighbourNotifier(Protocol):
@@ -61,5 +71,19 @@
             answer came in time.
         """
 
+    async def request_permit(
+        self, req: SelectionRequest, max_wait_s: float
+    ) -> ReservedSlot | None:
+        """Request a permit for a rate-limited server from its coordinator.
+
+        Args:
+            req: The request.
+            max_wait_s: How long it may be queued at the coordinator, in seconds.
+
+        Returns:
+            The permit, with backend ``NO_FREE_SLOT`` if it is denied, or None if no
+            answer came in time or no other host coordinates.
+        """
+
     def release(self, slot: ReservedSlot) -> None:
         """Release a slot of another group."""
--- a/src/crocusward/relay/_slot_finder.py
+++ b/src/crocusward/relay/_slot_finder.py
@@ -7,9 +7,9 @@
 from ..desired import Directory
 from ..logs import EventSampler
 from ..placing import (
-    BackendLoad,
     BackendLoadTable,
     BackendSelector,
+    LimitedServers,
     QueuedRequest,
     Refused,
     RemoteRegionFallback,
@@ -24,8 +24,8 @@
 
 QUEUE_CHECK_PERIOD_S = 0.03  # finds slots that became free without a report
 FULL_RETRY_AFTER_S = 0.2  # a full data centre may have a free slot by then
-RESERVATION_TIME_FACTOR = 3.0  # multiple of the expected time of the request
 MIN_ATTEMPT_TIME_S = 0.01  # an attempt with less time until its deadline is useless
+PERMIT_RETRY_S = 0.1  # between requests for a permit that were not answered
 MAX_ASKED_GROUPS = 3  # per pass, before the request is queued here or there
 
 
@@ -33,7 +33,8 @@
     """Finds slots for the requests of this host and of other groups.
 
     The loads of other groups are not known here. So a request normally leaves its group
-    only with a slot that a host of the other group has reserved for it.
+    only with a slot that a host of the other group has reserved for it. A rate-limited
+    server gets it only with a permit of the coordinator of the server's service.
 
     Args:
         timer: Source of time.
@@ -54,7 +55,6 @@
         "_notifier",
         "_sampler",
         "_queues",
-        "_reserved",
         "_is_check_scheduled",
         "_probe_tasks",
     )
@@ -79,7 +79,10 @@
         self._queues: dict[str, RequestQueue] = {}
         self._is_check_scheduled = False
         self._probe_tasks: dict[str, asyncio.Task[bool]] = {}
-        self._reserved: dict[tuple[str, int], BackendLoad] = {}
+
+    def queue(self, service: str) -> RequestQueue:
+        """Return the queue of a service."""
+        return self._queues.setdefault(service, RequestQueue())
 
     def has_queued(self, service: str) -> bool:
         """Return whether requests of a service are queued here."""
@@ -109,8 +112,8 @@
             now_s = self._timer.now()
             if now_s + MIN_ATTEMPT_TIME_S >= req.deadline_s:
                 raise Refused("no time is left", 0.0, code="no_time")
-            queue = self._queues.setdefault(req.service, RequestQueue())
-            selection = await self._choose(req, queue, can_wait_for_idle, full_groups)
+            queue = self.queue(req.service)
+            selection = await self.choose(req, queue, can_wait_for_idle, full_groups)
             load = selection.load
             if load is not None and load.group == self._load_table.groups.own:
                 return selection
@@ -133,7 +136,7 @@
                     return found
             else:
                 limit_s = fallback.time_until_due_s(now_s)
-                if await self._wait_in_queue(
+                if await self.wait_in_queue(
                     req, queue, selection, not can_wait_for_idle, limit_s
                 ):
                     return selection
@@ -144,7 +147,37 @@
                     can_wait_for_idle = False
                     full_groups.clear()
 
-    async def _choose(
+    async def choose(
+        self,
+        req: SelectionRequest,
+        queue: RequestQueue,
+        can_wait_for_idle: bool,
+        avoid: Collection[str] = (),
+        *,
+        own_group_only: bool = False,
+        max_probe_rounds: int = MAX_PROBE_ROUNDS,
+    ) -> Selection:
+        """Select a server, with a permit if it needs one, or decide to wait."""
+
+        async def choose(limited: LimitedServers) -> Selection:
+            return await self.choose_by_limit(
+                req,
+                queue,
+                can_wait_for_idle,
+                avoid,
+                own_group_only=own_group_only,
+                max_probe_rounds=max_probe_rounds,
+                limited=limited,
+            )
+
+        selection = await choose(LimitedServers.ALLOWED)
+        if selection.needs_permit:
+            permit = await self._notifier.request_permit(req, 0.0)
+            if permit is None or not self._use_permit(req, selection, permit):
+                selection = await choose(LimitedServers.EXCLUDED)
+        return selection
+
+    async def choose_by_limit(
         self,
         req: SelectionRequest,
         queue: RequestQueue,
@@ -153,6 +186,7 @@
         *,
         own_group_only: bool = False,
         max_probe_rounds: int = MAX_PROBE_ROUNDS,
+        limited: LimitedServers,
     ) -> Selection:
         """Select a server by fresh load reports, or decide to wait."""
         for rounds_left in range(max_probe_rounds, -1, -1):
@@ -166,6 +200,7 @@
                 can_wait=can_wait_for_idle,
                 own_group_only=own_group_only,
                 avoid=avoid,
+                limited=limited,
             )
             if self._prober is None or not rounds_left or not selection.probe_targets:
                 break
@@ -176,12 +211,21 @@
         return selection
 
     async def find_hedge_slot(self, req: SelectionRequest) -> Selection | None:
-        """Return an idle server of this group for a hedged request, or None."""
-        queue = self._queues.setdefault(req.service, RequestQueue())
+        """Return an idle server of this group for a hedged request, or None.
+
+        Rate-limited servers are left to requests that have no server yet.
+        """
+        queue = self.queue(req.service)
         if queue:
             return None
         try:
-            selection = await self._choose(req, queue, False, own_group_only=True)
+            selection = await self.choose_by_limit(
+                req,
+                queue,
+                False,
+                own_group_only=True,
+                limited=LimitedServers.EXCLUDED,
+            )
         except Refused:
             return None
         if selection.load is None or selection.in_flight >= 1.0:
@@ -251,6 +295,16 @@
         selection.release = lambda: self._notifier.release(slot)
         return True
 
+    def _use_permit(
+        self, req: SelectionRequest, selection: Selection, permit: ReservedSlot
+    ) -> bool:
+        """Use a permit of the coordinator; return False if it is not usable."""
+        if not self._use_reserved_slot(req, selection, permit):
+            return False
+        selection.release = None  # the coordinator reserves no slot
+        selection.needs_permit = False
+        return True
+
     async def _use_without_reservation(
         self, req: SelectionRequest, selection: Selection
     ) -> Selection | None:
@@ -260,8 +314,8 @@
         silence.
 
         Hosts and servers of a data centre tend to fail together, so the server must
-        answer a probe first. A cold server is left to its own group, since the hosts
-        of other groups do not know how much each of them sends to it.
+        answer a probe first. A cold or rate-limited server is left to its own group,
+        since the hosts of other groups do not know how much each of them sends to it.
         """
         load = selection.load
         if selection.usable_in_group or load is None:
@@ -270,22 +324,25 @@
             if not await self._prober.is_alive(load, req.service):
                 return None
         now_s = self._timer.now()
-        if load.is_cold(now_s) or load.in_flight(now_s) >= load.entry.slots:
+        if load.is_cold(now_s) or load.rate_limit:
+            return None
+        if load.in_flight(now_s) >= load.entry.slots:
             return None
         return selection
 
-    async def _wait_in_queue(
+    async def wait_in_queue(
         self,
         req: SelectionRequest,
         queue: RequestQueue,
         selection: Selection,
         can_share: bool,
         limit_s: float = math.inf,
+        limited: LimitedServers = LimitedServers.ALLOWED,
     ) -> bool:
         """Queue for a free slot here; return False if the wait was given up."""
         now_s = self._timer.now()
         fut: asyncio.Future[Selection] = asyncio.get_running_loop().create_future()
-        item = QueuedRequest(req, now_s, can_share, fut)
+        item = QueuedRequest(req, now_s, can_share, fut, limited)
         queue.add(item)
         self._schedule_queue_check()
         self._sampler.log(
@@ -295,10 +352,12 @@
             waiting=len(queue),
             wait_s=selection.wait_s,
             patience_s=selection.max_wait_s,
+            at_limit=selection.without_permit_count,
         )
         end_s = min(selection.max_wait_s, req.deadline_s - now_s, limit_s)
         if not selection.usable_in_group:
             end_s = min(end_s, QUEUE_CHECK_PERIOD_S)  # no server here can become free
+        permit_task = self._start_permit_request(item, selection, end_s)
         try:
             async with asyncio.timeout(max(0.0, end_s)):
                 selection.copy_from(await fut)
@@ -310,21 +369,77 @@
             raise
         finally:
             queue.discard(item)
+            if permit_task is not None:
+                permit_task.cancel()
         return True
 
+    def _start_permit_request(
+        self, item: QueuedRequest, selection: Selection, max_wait_s: float
+    ) -> "asyncio.Task[None] | None":
+        """Queue a request at the coordinator as well, if servers here are limited."""
+        service = item.req.service
+        is_own = self._load_table.permits.is_coordinator(service, self._timer.now())
+        if (
+            not selection.limited_count
+            or is_own
+            or item.limited is not LimitedServers.ALLOWED
+        ):
+            return None
+        has_others = selection.usable_in_group > selection.limited_count
+        return asyncio.get_running_loop().create_task(
+            self._request_permit(item, max_wait_s, has_others)
+        )
+
+    async def _request_permit(
+        self, item: QueuedRequest, max_wait_s: float, has_others: bool
+    ) -> None:
+        """Wait for a permit for a queued request.
+
+        Args:
+            item: The request.
+            max_wait_s: How long it may wait.
+            has_others: Whether it may also run on a server without a limit.
+        """
+        end_s = self._timer.now() + max_wait_s
+        while not item.fut.done() and (left_s := end_s - self._timer.now()) > 0.0:
+            permit = await self._notifier.request_permit(item.req, left_s)
+            if item.fut.done():
+                return
+            selection = Selection(SelectionVerdict.PLACE, None)
+            now_s = self._timer.now()
+            if permit is not None and self._use_permit(item.req, selection, permit):
+                assert selection.load is not None
+                selection.load.begin(now_s)
+                selection.begun_s = now_s
+                item.fut.set_result(selection)
+            elif permit is not None and permit.retry_after_s > 0.0 and not has_others:
+                item.fut.set_exception(
+                    self._selector.refuse_for_limits(
+                        item.req, permit.retry_after_s, now_s
+                    )
+                )
+            else:
+                await self._timer.sleep(PERMIT_RETRY_S)
+
     def dispatch_queued(self, service: str) -> None:
         """Assign free slots here to the queued requests of a service."""
         queue = self._queues.get(service)
         if not queue:
             return
         now_s = self._timer.now()
+        is_coordinator = self._load_table.permits.is_coordinator(service, now_s)
+        selection: Selection | None = None
         for item in queue.in_order(now_s):
             if item.fut.done():
                 queue.discard(item)
                 continue
             try:
                 selection = self._selector.choose(
-                    item.req, now_s, can_wait=not item.can_share, own_group_only=True
+                    item.req,
+                    now_s,
+                    can_wait=not item.can_share,
+                    own_group_only=True,
+                    limited=_usable_servers(item, is_coordinator),
                 )
             except Refused as exc:
                 if exc.code == "no_backend":
@@ -340,8 +455,37 @@
                 selection.load.begin(now_s)
                 selection.begun_s = now_s
                 item.fut.set_result(selection)
-            elif selection.candidate_count == 0:
+            elif selection.candidate_count == 0 and (
+                item.limited is LimitedServers.ALLOWED
+            ):
                 break
+        if is_coordinator and selection is not None:
+            self._refuse_hopeless(queue, selection, now_s)
+
+    def _refuse_hopeless(
+        self, queue: RequestQueue, selection: Selection, now_s: float
+    ) -> None:
+        """Refuse queued requests that the limits of the servers leave no time.
+
+        Answers load above the sum of the limits, where requests that came later but
+        have a higher priority may use up what is left for earlier ones.
+        """
+        if not selection.limited_count or (
+            selection.limited_count < selection.usable_in_group
+        ):
+            return
+        ahead = 0.5  # the next permit is due within half its period on average
+        for item in queue.in_order(now_s):
+            if item.fut.done():
+                continue
+            wait_s = ahead / selection.completions_per_s
+            if now_s + wait_s + item.req.service_time_s > item.req.deadline_s:
+                queue.discard(item)
+                item.fut.set_exception(
+                    self._selector.refuse_for_limits(item.req, wait_s, now_s)
+                )
+            else:
+                ahead += 1.0
 
     def _start_probing(self, selection: Selection, req: SelectionRequest) -> bool:
         """Probe for the queued requests of a service; return whether probes run."""
@@ -375,84 +519,14 @@
         if any(self._queues.values()):
             self._schedule_queue_check()
 
-    # Slots for other groups.
-
-    async def offer(
-        self,
-        key: tuple[str, int],
-        service: str,
-        route_name: str,
-        service_time_s: float,
-        can_share: bool,
-        wait_s: float,
-    ) -> Selection | None:
-        """Reserve a slot for a host of another group.
-
-        Args:
-            key: Address of the host and number of its slot request.
-            service: Name of the service.
-            route_name: Name of the route.
-            service_time_s: Expected service time of the request, in seconds.
-            can_share: Whether a server with other requests in flight is acceptable.
-            wait_s: How long the request may be queued here, in seconds.
-
-        Returns:
-            The selected server, or None if there is no free slot.
-        """
-        now_s = self._timer.now()
-        state = self._directory.state
-        route = state.find_route_by_name(route_name) if state else None
-        if route is None:
-            return None
-        req = SelectionRequest(
-            "",
-            route,
-            service,
-            objective_s=now_s + route.objective_s,
-            deadline_s=now_s + wait_s + service_time_s + MIN_ATTEMPT_TIME_S,
-            service_time_s=service_time_s,
-        )
-        queue = self._queues.setdefault(service, RequestQueue())
-        if queue and wait_s <= 0.0:
-            return None  # requests queued at this host go first
-        try:
-            selection = await self._choose(
-                req, queue, not can_share, own_group_only=True, max_probe_rounds=1
-            )
-            must_be_idle_now = not can_share and wait_s <= 0.0
-            if selection.load is None or (
-                selection.in_flight >= 1.0 and must_be_idle_now
-            ):
-                selection.load = None
-                selection.max_wait_s = wait_s
-                if wait_s <= 0.0 or not await self._wait_in_queue(
-                    req, queue, selection, can_share
-                ):
-                    return None
-        except Refused:
-            return None
-        load = selection.load
-        if load is None:
-            return None
-        now_s = self._timer.now()
-        if selection.begun_s is not None:
-            load.end(selection.begun_s)
-        load.reserve_slot(now_s)
-        reserved_s = RESERVATION_TIME_FACTOR * max(service_time_s, selection.expected_s)
-        reserved_s = min(reserved_s, route.timeout_s + MIN_ATTEMPT_TIME_S)
-        self._reserved[key] = load
-        self._timer.call_later(reserved_s, lambda: self.release_offer(key))
-        self._notifier.notify_change(load, None)
-        return selection
 
-    def release_offer(self, key: tuple[str, int]) -> None:
-        """Release an offered slot when its request or reservation has ended."""
-        load = self._reserved.pop(key, None)
-        if load is None:
-            return
-        load.end(-1.0)
-        self._notifier.notify_change(load, None)
-        self.dispatch_queued(load.entry.service)
+def _usable_servers(item: QueuedRequest, is_coordinator: bool) -> LimitedServers:
+    """Return which servers a queued request may get from this host."""
+    if is_coordinator:
+        return item.limited
+    if item.limited is LimitedServers.REQUIRED:
+        raise Refused("another host coordinates", 0.0, code="not_coordinator")
+    return LimitedServers.EXCLUDED
 
 
 def _release_selected_slot(fut: "asyncio.Future[Selection]") -> None:
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -33,11 +33,13 @@
     Relay,
     RequestLog,
     SlotFinder,
+    SlotOffers,
 )
 from crocusward.timing import LoopTimer
 
 from .entry_support import REGIONS, backend, desired, directory, route
 
+STEP_S = 1e-6
 LOCAL_DELAY_S = 0.0003
 REGION_DELAY_S = 0.001
 REMOTE_DELAY_S = 0.012
@@ -67,6 +69,15 @@
 )
 
 
+class SteppingLoop(VirtualLoop):
+    """Virtual time that also passes while callbacks run, as real time does."""
+
+    def __init__(self):
+        super().__init__()
+        jump = self._jumping.select
+        self._jumping.select = lambda timeout: jump(max(STEP_S, timeout))
+
+
 class Arrival:
     """One request at a server."""
 
@@ -316,6 +327,15 @@
                 self.timer, self.directory, times, client, sampler, self.rate_limits
             ),
         )
+        self.slot_offers = SlotOffers(
+            self.timer,
+            self.directory,
+            self.table,
+            self.slot_finder,
+            self.hub,
+            sampler,
+            self.rate_limits,
+        )
         self.retry_budget = FleetRetryBudget(0.2, 58.0, 10.0)
         self.retry_budget.host_count = fleet.host_count
         self.relay = Relay(
@@ -366,9 +386,12 @@
             lambda: False,
             lambda service: self.relay.dispatch_queued(service),
             lambda: None,
-            lambda *request: self.slot_finder.offer(*request),
-            lambda key: self.slot_finder.release_offer(key),
+            lambda *request: self.slot_offers.offer(*request),
+            lambda key: self.slot_offers.release_offer(key),
+            lambda *request: self.slot_offers.issue_permit(*request),
             lambda host: None,
+            self.rate_limits,
+            fleet.loop.time,
         )
 
     async def thaw(self):
@@ -396,7 +419,7 @@
     """Hosts, servers and callers of one run."""
 
     def __init__(self, seed, servers, *, hosts_per_data_centre=4, loss=0.0):
-        self.loop = VirtualLoop()
+        self.loop = SteppingLoop()
         self.rng = random.Random(seed)
         self.servers = {server.id: server for server in servers}
         self.state = desired(LOOK, ORDER)
--- a/tests/test_asks.py
+++ b/tests/test_asks.py
@@ -9,6 +9,7 @@
 from crocusward.logs import EventSampler
 from crocusward.neighbours import SlotOffer, SlotRelease, SlotRequest
 from crocusward.placing import SelectionRequest
+from crocusward.relay import PermitAnswer
 from crocusward.timing import LoopTimer
 
 from .entry_support import route
@@ -30,6 +31,10 @@
     return None
 
 
+async def deny_permit(neighbour, *request):
+    return PermitAnswer(None)
+
+
 class SlotBrokerTest(unittest.IsolatedAsyncioTestCase):
     def make_broker(self):
         timer = LoopTimer(asyncio.get_running_loop(), random.Random(1))
@@ -41,6 +46,8 @@
             self.endpoint,
             reserve_nothing,
             lambda key: None,
+            deny_permit,
+            lambda address: "",
         )
 
     def request_slot(self, broker, max_wait_s=0.0):
