Ignore a report that is due after the endpoint was closed

A stopping host printed a traceback; callers saw nothing. Cause: a change of load schedules a report for the next iteration of the loop, and a stop may close the socket in between. Change: the endpoint sends nothing while its transport is closing. Result: tests.test_neighbours.EndpointTest fails before with AttributeError and passes.

--- a/src/crocusward/neighbours/_endpoint.py
+++ b/src/crocusward/neighbours/_endpoint.py
@@ -76,7 +76,7 @@
 
     def send(self, message: Message, addresses: Iterable[str]) -> None:
         """Send a message to the daemons at the given IP addresses."""
-        if self._transport is None:
+        if self._transport is None or self._transport.is_closing():
             return
         data = encode_message(message)
         for address in addresses:
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -1,16 +1,19 @@
 """Codec of the messages between daemons, and choice of the store reader."""
 
+import asyncio
 import unittest
 
 import cbor2
 
 from crocusward.desired import EntryHost
+from crocusward.logs import EventSampler
 from crocusward.neighbours import (
     BackendObservation,
     Hello,
     HostReport,
     MemberList,
     MessageError,
+    NeighbourEndpoint,
     NeighbourTable,
     ObservationKind,
     ReadTimes,
@@ -166,3 +169,17 @@
         table.apply_report(report("h3", versions={"op": 5}), "b", 0.0)
         self.assertEqual(table.find_source("op", 4, 0.1).host, "h3")
         self.assertIsNone(table.find_source("op", 5, 0.1))
+
+
+class EndpointTest(unittest.IsolatedAsyncioTestCase):
+    async def test_send_after_close_is_ignored(self):
+        """Guards against an error from a report that was due when the host stopped."""
+        errors = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: errors.append(context))
+        endpoint = NeighbourEndpoint(lambda *_: None, EventSampler(loop.time, 0))
+        await endpoint.start("127.0.0.1", 0)
+        endpoint.close()
+        await asyncio.sleep(0.01)
+        endpoint.send(Hello(EntryHost("h1", "127.0.0.1", "east-a"), 1), ["127.0.0.1"])
+        self.assertEqual((errors, endpoint.sent_count), ([], 0))
