Split scoring and permit requests from the selector and the slot finder

Change: BackendScorer holds the scores, PermitRequester the requests of queued requests for permits; which queued requests are hopeless is decided in the queue, without a network. Requests for permits are logged as permit_asked.

--- a/src/crocusward/entryd/_hub.py
+++ b/src/crocusward/entryd/_hub.py
@@ -432,7 +432,7 @@
         if host is None or name == self._facts.name:
             return None
         return await self._slot_broker.request_slot(
-            req, self._groups.own, [host], True, max_wait_s
+            req, self._groups.own, [host], True, max_wait_s, event="permit"
         )
 
     def release(self, slot: ReservedSlot) -> None:
--- a/src/crocusward/entryd/_slot_broker.py
+++ b/src/crocusward/entryd/_slot_broker.py
@@ -85,6 +85,8 @@
         hosts: Sequence[EntryHost],
         can_share: bool,
         max_wait_s: float,
+        *,
+        event: str = "place",
     ) -> ReservedSlot | None:
         """Request a slot at a server of a group from one of its hosts.
 
@@ -94,6 +96,7 @@
             hosts: Hosts of the group.
             can_share: Whether a server that already has requests is acceptable.
             max_wait_s: How long the host may wait for a free slot.
+            event: First word of the logged events.
 
         Returns:
             The offered slot, with the server ``NO_FREE_SLOT`` if there is none; or None
@@ -123,7 +126,7 @@
         if offer is None:
             self._paused_until_s[host.host] = now_s + UNANSWERED_PAUSE_S
             self._sampler.log(
-                "place_ask_unanswered",
+                f"{event}_ask_unanswered",
                 id=req.id,
                 host=host.host,
                 usual_s=reply_time_s,
@@ -136,11 +139,12 @@
             took_s - reply_time_s
         )
         self._sampler.log(
-            "place_asked",
+            f"{event}_asked",
             id=req.id,
             host=host.host,
             backend=offer.backend,
             took_s=took_s,
+            retry_after_s=offer.retry_after_s,
         )
         return ReservedSlot(
             offer.backend,
--- a/src/crocusward/placing/_queue.py
+++ b/src/crocusward/placing/_queue.py
@@ -63,6 +63,28 @@
         """Return the waiting requests, the next one first."""
         return iter(sorted(self._items, key=lambda item: item.req.rank(now_s)))
 
+    def find_hopeless(
+        self, completions_per_s: float, now_s: float
+    ) -> list[tuple[QueuedRequest, float]]:
+        """Return the requests that cannot be served in time, with their wait.
+
+        Answers load above the rate limits of all servers, where requests that came
+        later but have a higher priority use up what was left for earlier ones.
+
+        Args:
+            completions_per_s: Requests of this queue that complete in a second.
+            now_s: Monotonic time.
+        """
+        found = []
+        ahead = 0.5  # the next completion is due within half a period on average
+        for item in self.in_order(now_s):
+            wait_s = ahead / completions_per_s
+            if now_s + wait_s + item.req.service_time_s > item.req.deadline_s:
+                found.append((item, wait_s))
+            else:
+                ahead += 1.0
+        return found
+
     def ahead_of(self, req: SelectionRequest, now_s: float) -> int:
         """Return how many queued requests precede ``req``."""
         rank = req.rank(now_s)
--- a/src/crocusward/placing/_selector.py
+++ b/src/crocusward/placing/_selector.py
@@ -4,10 +4,11 @@
 from collections.abc import Collection, Sequence
 
 from ..desired import Directory, RouteRule, ServiceRule
-from ._candidates import COLD_FACTOR, Candidate, CandidateSet
+from ._candidates import Candidate, CandidateSet
 from ._groups import data_centre_of
 from ._load import SLOWDOWN_DECAY_S, BackendLoad
 from ._load_table import BackendLoadTable
+from ._scoring import FRESH_SLOWDOWN_S, REMAINING_SERVICE_SHARE, BackendScorer
 from ._selection import (
     LimitedServers,
     Refused,
@@ -17,14 +18,7 @@
 )
 from ._service_times import ServiceTimeModel
 
-# Costs of leaving the group, data centre or region, as multiples of the service time.
-# Loads there are not known here; the link between regions is narrow and billed by
-# volume, the one between data centres is billed less.
-OTHER_DATA_CENTRE_COST_FACTOR = 0.4
-OTHER_GROUP_COST_FACTOR = 0.2
-REMOTE_REGION_COST_FACTOR = 1.2
 MAX_SAMPLED_BACKENDS = 48  # sample of all servers, if this group has no idle one
-CONNECT_COST_S = 0.004  # a handshake at the server, and its price
 REMOTE_REGION_OVERHEAD_S = 0.06  # a slot request and an exchange between regions
 # Larger bodies stay in the region while it can answer them at all: this one takes 4 ms
 # of a link of 30 Mbit/s that all traffic shares.
@@ -37,17 +31,12 @@
 # ejecting them would only move their load to the rest.
 PANIC_THRESHOLD_SHARE = 0.4
 MAX_PROBES_PER_SELECTION = 3
-FRESH_SLOWDOWN_S = 0.025  # a small part of the time for which a slowdown lasts
 MIN_PROBE_GAIN_S = 0.005  # possible gain over the best candidate that justifies a probe
 # Part of the expected time that even a short request of its route takes. Dividing by it
 # leaves the same margin for a long one.
 MIN_SERVICE_TIME_FACTOR = 0.7
-UNTRIED_BONUS_S = 0.02  # new servers get their first request soon
-FAILURE_SCORE_WEIGHT = 3.0  # service times per recent failure
 SILENT_FACTOR = 2.5  # expected times without an answer that make a server suspect
 MIN_SILENT_S = 0.1
-PERMIT_COST_S = 0.002  # a message to the coordinator and back
-REMAINING_SERVICE_SHARE = 0.5  # of a request already running, on average
 MIN_WAIT_S = 0.004
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 2.0
@@ -82,6 +71,7 @@
         "_service_times",
         "_region",
         "_rng",
+        "_scorer",
     )
 
     def __init__(
@@ -98,6 +88,7 @@
         self._service_times = service_times
         self._region = region
         self._rng = rng
+        self._scorer = BackendScorer(load_table, region, rng)
 
     def is_allowed(self, load: BackendLoad, route: RouteRule) -> bool:
         """Return whether requests of a route may be sent to a server at all."""
@@ -217,7 +208,8 @@
         own_group = self._load_table.groups.own
         own_loads = self._load_table.in_group(req.service, own_group)
         permits = self._load_table.permits
-        permits.take_over(req.service, own_loads, now_s)
+        if any(load.rate_limit for load in own_loads):
+            permits.take_over(req.service, own_loads, now_s)
         allowed = self._filter_allowed(own_loads, req)
         if not own_group_only and not self._has_idle(allowed, req, now_s):
             others = self._load_table.by_service.get(req.service, [])
@@ -256,7 +248,7 @@
             if not self._has_cold_budget(load, rule, now_s):
                 continue
             candidate_set.candidates.append(
-                self._score(load, req, candidate_set, in_flight, now_s)
+                self._scorer.score(load, req, candidate_set, in_flight, now_s)
             )
         if candidate_set.usable_in_group:
             # The link between regions is for requests that cannot run here, and another
@@ -447,81 +439,6 @@
             return sends < max(1, int(rule.cold_rate * self.cold_rate_factor))
         return sends == 0 and load.own_in_flight == 0
 
-    def _score(
-        self,
-        load: BackendLoad,
-        req: SelectionRequest,
-        candidate_set: CandidateSet,
-        in_flight: float,
-        now_s: float,
-    ) -> Candidate:
-        """Return the candidate for a request at a server with a free slot."""
-        base_s = req.service_time_s * load.latency_ratio(now_s)
-        if in_flight + 1.0 >= load.entry.slots and load.entry.slots > 1:
-            base_s *= candidate_set.concurrency_slowdown
-        cold_factor = COLD_FACTOR if load.is_cold(now_s) else 1.0
-        if load.group == self._load_table.groups.own:
-            expected_s = base_s * load.expected_slowdown(
-                now_s, candidate_set.mean_slowdown * cold_factor
-            )
-        else:
-            # The host that reserves the slot there selects by the current slowdown.
-            expected_s = base_s * candidate_set.low_slowdown * cold_factor
-        penalty_s = self._penalty_s(
-            load, req, in_flight, candidate_set.concurrency_slowdown, now_s
-        )
-        candidate = Candidate(load, in_flight, expected_s, expected_s + penalty_s)
-        fast_s = base_s * candidate_set.low_slowdown * cold_factor
-        if not load.has_been_tried:
-            # A new server is cold and gets a first request soon, unless its machine is
-            # known to be slow now.
-            slowdown = load.expected_slowdown(now_s, candidate_set.low_slowdown)
-            candidate.score_s = req.service_time_s * slowdown - UNTRIED_BONUS_S
-        candidate.optimistic_score_s = fast_s + penalty_s
-        candidate.slowdown_loss_s = expected_s - fast_s
-        candidate.has_stale_slowdown = (
-            candidate_set.has_slowdown_reports
-            and load.group == self._load_table.groups.own
-            and not load.is_cold(now_s)
-            and (not load.rate_limit or self._is_coordinator(req, now_s))
-            and load.slowdown_age_s(now_s) > FRESH_SLOWDOWN_S
-            and load.can_probe(now_s)
-        )
-        return candidate
-
-    def _penalty_s(
-        self,
-        load: BackendLoad,
-        req: SelectionRequest,
-        in_flight: float,
-        concurrency_slowdown: float,
-        now_s: float,
-    ) -> float:
-        penalty_s = self._rng.random() * 1e-3
-        own_group = self._load_table.groups.own
-        if load.group != own_group:
-            if load.region != self._region:
-                penalty_s += req.service_time_s * REMOTE_REGION_COST_FACTOR
-            elif load.entry.data_centre != data_centre_of(own_group):
-                penalty_s += req.service_time_s * OTHER_DATA_CENTRE_COST_FACTOR
-            else:
-                penalty_s += req.service_time_s * OTHER_GROUP_COST_FACTOR
-        if not load.idle_connections:
-            penalty_s += CONNECT_COST_S
-        if load.rate_limit and not self._is_coordinator(req, now_s):
-            penalty_s += PERMIT_COST_S
-        if in_flight >= 1.0:
-            # The requests already running there become slower as well.
-            penalty_s += (
-                (concurrency_slowdown - 1.0)
-                * REMAINING_SERVICE_SHARE
-                * req.service_time_s
-            )
-        return (
-            penalty_s
-            + FAILURE_SCORE_WEIGHT * req.service_time_s * load.failure_score(now_s)
-        )
-
     def _max_wait_s(
         self, req: SelectionRequest, concurrency_slowdown: float, now_s: float
     ) -> float:
--- a/src/crocusward/relay/_slot_finder.py
+++ b/src/crocusward/relay/_slot_finder.py
@@ -19,13 +19,13 @@
     SelectionVerdict,
 )
 from ..timing import TimerService
+from ._permits import PermitRequester
 from ._probing import MAX_PROBE_ROUNDS, LoadProber
 from ._reserved_slot import NO_FREE_SLOT, NeighbourNotifier, ReservedSlot
 
 QUEUE_CHECK_PERIOD_S = 0.03  # finds slots that became free without a report
 FULL_RETRY_AFTER_S = 0.2  # a full data centre may have a free slot by then
 MIN_ATTEMPT_TIME_S = 0.01  # an attempt with less time until its deadline is useless
-PERMIT_RETRY_S = 0.1  # between requests for a permit that were not answered
 MAX_ASKED_GROUPS = 3  # per pass, before the request is queued here or there
 
 
@@ -57,6 +57,7 @@
         "_queues",
         "_is_check_scheduled",
         "_probe_tasks",
+        "_permit_requester",
     )
 
     def __init__(
@@ -79,6 +80,9 @@
         self._queues: dict[str, RequestQueue] = {}
         self._is_check_scheduled = False
         self._probe_tasks: dict[str, asyncio.Task[bool]] = {}
+        self._permit_requester = PermitRequester(
+            timer, load_table, selector, notifier, self._use_permit
+        )
 
     def queue(self, service: str) -> RequestQueue:
         """Return the queue of a service."""
@@ -357,7 +361,7 @@
         end_s = min(selection.max_wait_s, req.deadline_s - now_s, limit_s)
         if not selection.usable_in_group:
             end_s = min(end_s, QUEUE_CHECK_PERIOD_S)  # no server here can become free
-        permit_task = self._start_permit_request(item, selection, end_s)
+        permit_task = self._permit_requester.start(item, selection, end_s)
         try:
             async with asyncio.timeout(max(0.0, end_s)):
                 selection.copy_from(await fut)
@@ -373,54 +377,6 @@
                 permit_task.cancel()
         return True
 
-    def _start_permit_request(
-        self, item: QueuedRequest, selection: Selection, max_wait_s: float
-    ) -> "asyncio.Task[None] | None":
-        """Queue a request at the coordinator as well, if servers here are limited."""
-        service = item.req.service
-        is_own = self._load_table.permits.is_coordinator(service, self._timer.now())
-        if (
-            not selection.limited_count
-            or is_own
-            or item.limited is not LimitedServers.ALLOWED
-        ):
-            return None
-        has_others = selection.usable_in_group > selection.limited_count
-        return asyncio.get_running_loop().create_task(
-            self._request_permit(item, max_wait_s, has_others)
-        )
-
-    async def _request_permit(
-        self, item: QueuedRequest, max_wait_s: float, has_others: bool
-    ) -> None:
-        """Wait for a permit for a queued request.
-
-        Args:
-            item: The request.
-            max_wait_s: How long it may wait.
-            has_others: Whether it may also run on a server without a limit.
-        """
-        end_s = self._timer.now() + max_wait_s
-        while not item.fut.done() and (left_s := end_s - self._timer.now()) > 0.0:
-            permit = await self._notifier.request_permit(item.req, left_s)
-            if item.fut.done():
-                return
-            selection = Selection(SelectionVerdict.PLACE, None)
-            now_s = self._timer.now()
-            if permit is not None and self._use_permit(item.req, selection, permit):
-                assert selection.load is not None
-                selection.load.begin(now_s)
-                selection.begun_s = now_s
-                item.fut.set_result(selection)
-            elif permit is not None and permit.retry_after_s > 0.0 and not has_others:
-                item.fut.set_exception(
-                    self._selector.refuse_for_limits(
-                        item.req, permit.retry_after_s, now_s
-                    )
-                )
-            else:
-                await self._timer.sleep(PERMIT_RETRY_S)
-
     def dispatch_queued(self, service: str) -> None:
         """Assign free slots here to the queued requests of a service."""
         queue = self._queues.get(service)
@@ -465,27 +421,17 @@
     def _refuse_hopeless(
         self, queue: RequestQueue, selection: Selection, now_s: float
     ) -> None:
-        """Refuse queued requests that the limits of the servers leave no time.
-
-        Answers load above the sum of the limits, where requests that came later but
-        have a higher priority may use up what is left for earlier ones.
-        """
+        """Refuse queued requests for which the limits of the servers leave no time."""
         if not selection.limited_count or (
             selection.limited_count < selection.usable_in_group
         ):
             return
-        ahead = 0.5  # the next permit is due within half its period on average
-        for item in queue.in_order(now_s):
-            if item.fut.done():
-                continue
-            wait_s = ahead / selection.completions_per_s
-            if now_s + wait_s + item.req.service_time_s > item.req.deadline_s:
-                queue.discard(item)
+        for item, wait_s in queue.find_hopeless(selection.completions_per_s, now_s):
+            queue.discard(item)
+            if not item.fut.done():
                 item.fut.set_exception(
                     self._selector.refuse_for_limits(item.req, wait_s, now_s)
                 )
-            else:
-                ahead += 1.0
 
     def _start_probing(self, selection: Selection, req: SelectionRequest) -> bool:
         """Probe for the queued requests of a service; return whether probes run."""
