Order queues by priority first where rate limits bound the service

Cause: a request waited at the coordinator only as long as its host waited before it looked elsewhere, so the coordinator refused it as hopeless too early; and late urgent requests stood behind all requests in time, of which there are always some while demand exceeds the limits. Change: a request may wait for a permit up to its deadline; a queue whose servers are all limited puts priority before lateness.

--- a/src/crocusward/placing/_queue.py
+++ b/src/crocusward/placing/_queue.py
@@ -39,12 +39,17 @@
 
     Requests that can still meet their objective go first, by the priority of their
     route, then by deadline. Late requests follow, so that a backlog does not make
-    every answer late.
+    every answer late. Where rate limits keep the load from ever being served, late
+    requests would never have their turn, so priority goes first.
+
+    Attributes:
+        is_rate_limited: Whether rate limits of all servers bound what is served.
     """
 
-    __slots__ = ("_items",)
+    __slots__ = ("is_rate_limited", "_items")
 
     def __init__(self) -> None:
+        self.is_rate_limited = False
         self._items: list[QueuedRequest] = []
 
     def __len__(self) -> int:
@@ -61,7 +66,10 @@
 
     def in_order(self, now_s: float) -> Iterator[QueuedRequest]:
         """Return the waiting requests, the next one first."""
-        return iter(sorted(self._items, key=lambda item: item.req.rank(now_s)))
+        return iter(sorted(self._items, key=lambda item: self._rank(item.req, now_s)))
+
+    def _rank(self, req: SelectionRequest, now_s: float) -> tuple[int, int, float]:
+        return req.rank(now_s, priority_first=self.is_rate_limited)
 
     def find_hopeless(
         self, completions_per_s: float, now_s: float
@@ -87,5 +95,5 @@
 
     def ahead_of(self, req: SelectionRequest, now_s: float) -> int:
         """Return how many queued requests precede ``req``."""
-        rank = req.rank(now_s)
-        return sum(1 for item in self._items if item.req.rank(now_s) < rank)
+        rank = self._rank(req, now_s)
+        return sum(1 for item in self._items if self._rank(item.req, now_s) < rank)
--- a/src/crocusward/placing/_selection.py
+++ b/src/crocusward/placing/_selection.py
@@ -85,9 +85,18 @@
         self.excluded = excluded
         self.body_bytes = body_bytes
 
-    def rank(self, now_s: float) -> tuple[bool, int, float]:
-        """Return the sort key in the queue, smallest first."""
+    def rank(
+        self, now_s: float, *, priority_first: bool = False
+    ) -> tuple[int, int, float]:
+        """Return the sort key in the queue, smallest first.
+
+        Args:
+            now_s: Monotonic time.
+            priority_first: Whether urgent late requests precede others in time.
+        """
         is_late = now_s + self.service_time_s > self.objective_s
+        if priority_first:
+            return self.route.priority, is_late, self.deadline_s
         return is_late, self.route.priority, self.deadline_s
 
 
--- a/src/crocusward/relay/_permits.py
+++ b/src/crocusward/relay/_permits.py
@@ -71,9 +71,13 @@
         self._use_permit = use_permit
 
     def start(
-        self, item: QueuedRequest, selection: Selection, max_wait_s: float
+        self, item: QueuedRequest, selection: Selection
     ) -> "asyncio.Task[None] | None":
-        """Queue a request at the coordinator as well, if servers here are limited."""
+        """Queue a request at the coordinator as well, if servers here are limited.
+
+        It may wait there up to its deadline, also if this host looks for a slot
+        elsewhere before: the coordinator would refuse it too early otherwise.
+        """
         service = item.req.service
         is_own = self._load_table.permits.is_coordinator(service, self._timer.now())
         if (
@@ -83,21 +87,16 @@
         ):
             return None
         has_others = selection.usable_in_group > selection.limited_count
-        return asyncio.get_running_loop().create_task(
-            self._request(item, max_wait_s, has_others)
-        )
+        return asyncio.get_running_loop().create_task(self._request(item, has_others))
 
-    async def _request(
-        self, item: QueuedRequest, max_wait_s: float, has_others: bool
-    ) -> None:
+    async def _request(self, item: QueuedRequest, has_others: bool) -> None:
         """Wait for a permit for a queued request.
 
         Args:
             item: The request.
-            max_wait_s: How long it may wait.
             has_others: Whether it may also run on a server without a limit.
         """
-        end_s = self._timer.now() + max_wait_s
+        end_s = item.req.deadline_s - item.req.service_time_s
         while not item.fut.done() and (left_s := end_s - self._timer.now()) > 0.0:
             permit = await self._notifier.request_permit(item.req, left_s)
             if item.fut.done():
--- a/src/crocusward/relay/_slot_finder.py
+++ b/src/crocusward/relay/_slot_finder.py
@@ -206,6 +206,9 @@
                 avoid=avoid,
                 limited=limited,
             )
+            queue.is_rate_limited = (
+                0 < selection.limited_count == (selection.usable_in_group)
+            )
             if self._prober is None or not rounds_left or not selection.probe_targets:
                 break
             if not await self._prober.refresh(
@@ -361,7 +364,7 @@
         end_s = min(selection.max_wait_s, req.deadline_s - now_s, limit_s)
         if not selection.usable_in_group:
             end_s = min(end_s, QUEUE_CHECK_PERIOD_S)  # no server here can become free
-        permit_task = self._permit_requester.start(item, selection, end_s)
+        permit_task = self._permit_requester.start(item, selection)
         try:
             async with asyncio.timeout(max(0.0, end_s)):
                 selection.copy_from(await fut)
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from unittest import mock
 
 from crocusward.desired import FleetBounds, HostFacts, HostLimits
@@ -168,7 +169,7 @@
         try:
             async with asyncio.timeout(time_left_s):
                 await self._travel(server)
-                if host.is_dead or fleet.is_server_lost(host):
+                if host.is_dead:
                     await asyncio.sleep(time_left_s + 1.0)
                 end = await self._run(server, observation)
                 await self._travel(server)
@@ -221,7 +222,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 await self._travel(server)
-                if self._host.is_dead or self._fleet.is_server_lost(self._host):
+                if self._host.is_dead:
                     await asyncio.sleep(timeout_s + 1.0)
                 observation.running = server.running
                 observation.waiting = server.waiting
@@ -459,9 +460,10 @@
         self.hosts[name] = self.by_address[address] = host
         for server in self.servers.values():
             server.told_s.pop(name, None)
-        self.loop.run_until_complete(host.hub.start()) if not (
-            self.loop.is_running()
-        ) else self._spawn(host.hub.start())
+        if self.loop.is_running():
+            self._spawn(host.hub.start())
+        else:
+            self.loop.run_until_complete(host.hub.start())
 
     def _spawn(self, coroutine):
         task = self.loop.create_task(coroutine)
@@ -489,9 +491,6 @@
         self.cut.add(name)
         self.loop.call_later(for_s, self.cut.discard, name)
 
-    def is_server_lost(self, host):
-        return False
-
     def delay_s(self, one, other):
         if one.data_centre == other.data_centre:
             return LOCAL_DELAY_S
@@ -561,6 +560,22 @@
         self._spawn(self._generate(per_s, until_s))
         self.loop.advance(until_s + 3.0)
 
+    def most_in_window(self):
+        """Return the most requests that a limited server got in one window."""
+        most = 0
+        for server in self.servers.values():
+            if server.first_named_s is None:
+                continue
+            begin_s = server.first_named_s + STABILITY_S
+            times = [item.at_s for item in server.arrivals if item.at_s > begin_s]
+            for end_s in times:
+                most = max(most, sum(end_s - WINDOW_S < at <= end_s for at in times))
+        return most
+
+    def violations(self):
+        """Return the invariants that hosts found broken."""
+        return sum((h.invariants.violations for h in self.hosts.values()), Counter())
+
     def breaches(self):
         """Return what servers saw of requests beyond their limits."""
         return [text for item in self.servers.values() for text in item.breaches()]
@@ -577,6 +592,18 @@
         self.loop.close()
 
 
+def play_faults(fleet, seed, until_s, count=10):
+    """Plan restarts, freezes and cuts of hosts, in series and overlapping."""
+    rng = random.Random(seed)
+    names = [name for name, _, _ in fleet.places]
+    faults = (fleet.restart, fleet.freeze, fleet.cut_off)
+    for _ in range(count):
+        at_s = 3.0 + rng.random() * (until_s - 6.0)
+        fault = rng.choice(faults)
+        for name in rng.sample(names, rng.choice([1, 1, 2, len(names) // 3])):
+            fleet.at(at_s, fault, name, 0.3 + 3.0 * rng.random())
+
+
 def make_servers(count, share, limit, *, begin_s=4.0, end_s=1e9):
     """Return servers spread over the data centres, a share of them limited."""
     names = list(REGIONS)
