--- a/src/crocusward/devtools/fault_soak/__main__.py
+++ b/src/crocusward/devtools/fault_soak/__main__.py
@@ -20,6 +20,7 @@
     daemons: int = 2,
     callers: int = 12,
     keep: Path | None = None,
+    first: str = "",
 ) -> int:
     """Play one run.
 
@@ -29,9 +30,12 @@
         daemons: Daemons in each of three data centres.
         callers: Callers.
         keep: Directory for settings and logs of the daemons.
+        first: Name of the first fault, drawn by default.
     """
     world = asyncio.run(
-        run_soak(seed, duration, daemons=daemons, callers=callers, keep=keep)
+        run_soak(
+            seed, duration, daemons=daemons, callers=callers, keep=keep, first=first
+        )
     )
     asked = world.promises.asked
     served = sum(200 <= item.status < 300 for item in asked)
@@ -45,6 +49,7 @@
                 "served": served,
                 "runs": len(world.promises.runs),
                 "faults": len(world.played),
+                "limits": len(world.promises.limits),
                 "broken": len(world.findings),
             }
         )
--- a/src/crocusward/devtools/fault_soak/_checks.py
+++ b/src/crocusward/devtools/fault_soak/_checks.py
@@ -10,6 +10,10 @@
 APPLY_S = 2.0
 STABLE_S = 3.0  # calm before a bound counts
 CUT_SLACK_S = 0.2
+LIMIT_STABLE_S = 3.0  # from the first answer with a limit until it binds
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA = 5
 HOME_PREFIX = "/home/"
 
 
@@ -30,6 +34,22 @@
         self.host = host
 
 
+class LimitSpan(Span):
+    """A time in which a server names a rate limit.
+
+    Attributes:
+        server: Id of the server.
+        per_s: The limit, in requests per second.
+    """
+
+    __slots__ = ("server", "per_s")
+
+    def __init__(self, server: str, per_s: float, start_s: float) -> None:
+        super().__init__(start_s, 1e18)
+        self.server = server
+        self.per_s = per_s
+
+
 class Promises:
     """Collects what happened and finds broken promises.
 
@@ -41,6 +61,8 @@
         moved: When routes moved, with path prefix, old and new service.
         unstable: Times in which bounds do not count.
         stops: Planned stops, by name of the daemon.
+        limits: Times in which servers name rate limits.
+        harmed: Times in which the path to a server was harmed, by its id.
     """
 
     def __init__(self) -> None:
@@ -51,6 +73,8 @@
         self.moved: list[tuple[float, str, str, str]] = []
         self.unstable: list[Span] = []
         self.stops: list[tuple[str, float]] = []
+        self.limits: list[LimitSpan] = []
+        self.harmed: dict[str, list[Span]] = {}
 
     def broken(self) -> list[str]:
         """Return the broken promises."""
@@ -62,6 +86,7 @@
             *self._out(),
             *self._moved(),
             *self._planned_stops(),
+            *self._limits(),
         ]
         return sorted(found)
 
@@ -154,3 +179,34 @@
                 if self._is_calm(item.sent_s) and self._is_calm(item.ended_s):
                     found.append(f"planned_stop: {name} cut {item.id}")
         return found
+
+    def _limits(self) -> list[str]:
+        """Return servers that got more than their limit, from all daemons together.
+
+        Faults of daemons excuse nothing here. A path that was harmed may deliver
+        requests late and together.
+        """
+        found = []
+        for limit in self.limits:
+            times = sorted(
+                run.at_s
+                for run in self.runs
+                if run.server == limit.server
+                and limit.start_s + LIMIT_STABLE_S < run.at_s < limit.end_s
+                and not self._is_harmed(limit.server, run.at_s)
+            )
+            allowed = LIMIT_FACTOR * LIMIT_WINDOW_S * limit.per_s + LIMIT_EXTRA
+            for index, first_s in enumerate(times):
+                last_s = first_s + LIMIT_WINDOW_S
+                count = sum(at_s < last_s for at_s in times[index:])
+                if count > allowed:
+                    found.append(
+                        f"limit: {limit.server} got {count} in {LIMIT_WINDOW_S:g} s,"
+                        f" {allowed:g} allowed"
+                    )
+                    break
+        return found
+
+    def _is_harmed(self, server: str, at_s: float) -> bool:
+        spans = self.harmed.get(server, ())
+        return any(s.start_s <= at_s <= s.end_s + STABLE_S for s in spans)
--- a/src/crocusward/devtools/fault_soak/_faults.py
+++ b/src/crocusward/devtools/fault_soak/_faults.py
@@ -11,6 +11,8 @@
 
 Fault = Callable[["World", random.Random, float], Coroutine[Any, Any, None]]
 FAULTS: Registry[Fault] = Registry("fault")
+LIMIT_MIN_S = 4.0  # beyond the time from which a limit binds
+LIMIT_FACTOR = 2.0
 
 
 @FAULTS.register("daemon_kill")
@@ -103,12 +105,33 @@
             target.mode = ""
 
 
+@FAULTS.register("server_limits")
+async def limit_rate(world: "World", rng: random.Random, for_s: float) -> None:
+    """Let some servers name rate limits that change, and values that are not valid."""
+    for target in rng.sample(world.targets, rng.choice([2, 4, len(world.targets)])):
+        if not target.limits:
+            world.start_limit(target, rng.choice([1.0, 2.0, 4.0]))
+    await world.sleep(LIMIT_FACTOR * for_s + LIMIT_MIN_S)
+    for target in world.targets:
+        target.limits = [*target.limits[:1], "-1"] if target.limits else []
+    await world.sleep(for_s)
+    for target in world.targets:
+        if target.limits:
+            world.end_limit(target)
+            if rng.random() < 0.5:
+                world.start_limit(target, rng.choice([0.5, 3.0]))
+    await world.sleep(LIMIT_FACTOR * for_s + LIMIT_MIN_S)
+    for target in world.targets:
+        world.end_limit(target)
+
+
 @FAULTS.register("server_path")
 async def harm_path(world: "World", rng: random.Random, for_s: float) -> None:
     """Delay, reset, silence or cut one way the path to a server."""
-    proxy = world.proxies[rng.choice(world.targets).id]
+    target = rng.choice(world.targets)
+    proxy = world.proxies[target.id]
     kind = rng.choice(["delay", "reset", "silent", "deaf", "refuse", "mute"])
-    with world.unstable():
+    with world.unstable(), world.harmed(target):
         if kind == "reset":
             proxy.reset()
         elif kind == "mute":
--- a/src/crocusward/devtools/fault_soak/_targets.py
+++ b/src/crocusward/devtools/fault_soak/_targets.py
@@ -50,6 +50,7 @@
         id: Id of this run of the server.
         mode: How it misbehaves: "", "hang", "reset", "lose", "extra", "cut", "shed".
         share: Share of the requests on which it does.
+        limits: Values of the rate limit that it names in each answer, not all valid.
         listener: Where it listens.
     """
 
@@ -68,6 +69,7 @@
         self.data_centre = data_centre
         self.mode = ""
         self.share = 1.0
+        self.limits: list[str] = []
         self.slots = slots
         self.listener = Listener(self, "127.0.0.1", 0)
         self._runs = runs
@@ -88,6 +90,7 @@
         """Run a request, or misbehave."""
         load = b"Crocusward-Server-Load: %d,%d,%d,100\r\n"
         head = load % (self._busy, len(self._waiting), self.slots)
+        head += self._limit_lines()
         if req.path == "/health":
             head += b"Crocusward-Instance-Id: %s\r\n" % self.id.encode()
             conn.respond(200, b"", head)
@@ -100,7 +103,8 @@
         mode = self.mode if self._rng.random() < self.share else ""
         is_full = self._busy + len(self._waiting) >= self.slots + QUEUE
         if mode == "shed" or is_full:
-            conn.respond(503, b"", own + b"Crocusward-Not-Executed: 1\r\n")
+            own += b"Crocusward-Not-Executed: 1\r\n" + self._limit_lines()
+            conn.respond(503, b"", own)
             return
         conn.job = mode
         if self._busy >= self.slots:
@@ -108,6 +112,9 @@
         else:
             self._start(conn, req)
 
+    def _limit_lines(self) -> bytes:
+        return b"".join(b"Server-Limit: %s\r\n" % x.encode() for x in self.limits)
+
     def _start(self, conn: Connection, req: StandinRequest) -> None:
         transport = conn.transport
         host = transport.get_extra_info("peername")[0] if transport else ""
@@ -146,6 +153,7 @@
             len(self._waiting),
             self.slots,
         )
+        head += self._limit_lines()
         if mode == "cut" and conn.transport is not None and not conn.closed:
             full = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s\r\n" % (
                 len(body) + 9,
--- a/src/crocusward/devtools/fault_soak/_world.py
+++ b/src/crocusward/devtools/fault_soak/_world.py
@@ -10,7 +10,7 @@
 from ..standins import RowsStandin
 from ..standins._store import FaultMode
 from ._callers import Asked, Caller
-from ._checks import Promises, Span
+from ._checks import LimitSpan, Promises, Span
 from ._daemons import Daemon, unix_ms
 from ._faults import FAULTS
 from ._proxy import FaultProxy
@@ -149,6 +149,28 @@
         now_s = self.now_s()
         self.promises.unstable.append(Span(now_s - 2.0, now_s + for_s, daemon.address))
 
+    @contextlib.contextmanager
+    def harmed(self, target: Target) -> Iterator[None]:
+        """Note that the path to a server is harmed meanwhile."""
+        span = Span(self.now_s(), 1e18)
+        self.promises.harmed.setdefault(target.id, []).append(span)
+        try:
+            yield
+        finally:
+            span.end_s = self.now_s()
+
+    def start_limit(self, target: Target, per_s: float) -> None:
+        """Let a server name a rate limit."""
+        target.limits = [f"{per_s:g}"]
+        self.promises.limits.append(LimitSpan(target.id, per_s, self.now_s()))
+
+    def end_limit(self, target: Target) -> None:
+        """Let a server name no rate limit any more."""
+        target.limits = []
+        for span in self.promises.limits:
+            if span.server == target.id:
+                span.end_s = min(span.end_s, self.now_s())
+
     def set_store_mode(self, mode: str) -> None:
         """Change how the store answers."""
         self.store.delay_s = SLOW_S if mode == "slow" else 0.0
@@ -276,13 +298,19 @@
 
     # The run.
 
-    async def play(self, duration_s: float) -> None:
-        """Inject faults, some at the same time, for ``duration_s`` seconds."""
+    async def play(self, duration_s: float, first: str = "") -> None:
+        """Inject faults, some at the same time, for ``duration_s`` seconds.
+
+        Args:
+            duration_s: How long faults begin.
+            first: Name of the first fault, or "" to draw it.
+        """
         end_s = self.now_s() + duration_s
         faults: set[asyncio.Task[None]] = set()
         loop = asyncio.get_running_loop()
         while self.now_s() < end_s:
-            name = self.rng.choice(FAULTS.names())
+            name = first or self.rng.choice(FAULTS.names())
+            first = ""
             self.played.append(name)
             for_s = 0.5 + 2.5 * self.rng.random()
             task = loop.create_task(FAULTS.get(name)(self, self.rng, for_s))
@@ -317,7 +345,13 @@
 
 
 async def run_soak(
-    seed: int, duration_s: float, *, daemons: int, callers: int, keep: Path | None
+    seed: int,
+    duration_s: float,
+    *,
+    daemons: int,
+    callers: int,
+    keep: Path | None,
+    first: str = "",
 ) -> World:
     """Play one run and return it."""
     with contextlib.ExitStack() as stack:
@@ -329,7 +363,7 @@
         world = World(seed, daemons, callers, path)
         try:
             await world.start()
-            await world.play(duration_s)
+            await world.play(duration_s, first)
         finally:
             await world.close()
         world.findings += world.promises.broken()
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -4,12 +4,13 @@
 import unittest
 
 from crocusward.devtools.fault_soak._callers import Asked
-from crocusward.devtools.fault_soak._checks import Promises, Span
+from crocusward.devtools.fault_soak._checks import LimitSpan, Promises, Span
 from crocusward.devtools.fault_soak._targets import Run
 from crocusward.devtools.fault_soak._world import run_soak
 
 CI_SEED = 1
 CI_DURATION_S = 4.0
+LIMIT_SEED = 2
 # Seeds that once failed, with the cause.
 REGRESSION_SEEDS = {
     9: "SIGHUP ended a daemon that was still loading its modules",
@@ -90,6 +91,20 @@
         self.promises.runs = [run(path="/move/x", at_s=5.0)]
         self.assert_broken("config")
 
+    def test_work_beyond_a_rate_limit(self):
+        limit = LimitSpan("i-1", 1.0, 0.0)
+        self.promises.limits = [limit]
+        self.promises.asked = [asked(id=f"q{n}", path="/look/x") for n in range(12)]
+        self.promises.runs = [
+            run(id=f"q{n}", path="/look/x", at_s=4.0 + n / 4) for n in range(12)
+        ]
+        self.assert_broken("limit")
+        self.promises.harmed = {"i-1": [Span(3.5, 4.0)]}
+        self.assertEqual(self.promises.broken(), [])
+        self.promises.harmed = {}
+        limit.end_s = 5.0
+        self.assertEqual(self.promises.broken(), [])
+
     def test_cut_by_a_planned_stop(self):
         self.promises.asked = [asked(status=0, sent_s=11.0, ended_s=11.5)]
         self.promises.stops = [("h1", 10.0)]
@@ -97,15 +112,23 @@
 
 
 class ShortRunTest(unittest.TestCase):
-    def play(self, seed, duration_s):
-        world = asyncio.run(run_soak(seed, duration_s, daemons=2, callers=8, keep=None))
+    def play(self, seed, duration_s, first=""):
+        world = asyncio.run(
+            run_soak(seed, duration_s, daemons=2, callers=8, keep=None, first=first)
+        )
         self.assertEqual(world.findings, [])
         self.assertGreater(len(world.promises.asked), 100)
+        return world
 
     def test_short_run_keeps_the_promises(self):
         """Guards against broken promises of the real programs under faults."""
         self.play(CI_SEED, CI_DURATION_S)
 
+    def test_real_daemons_keep_rate_limits(self):
+        """Guards against daemons that exceed the limit of a server together."""
+        world = self.play(LIMIT_SEED, CI_DURATION_S, "server_limits")
+        self.assertTrue(world.promises.limits)
+
     def test_seeds_that_failed_before(self):
         """Guards against the return of failures that the soak has found."""
         for seed, cause in REGRESSION_SEEDS.items():
