Answer 504 when an exchange ends at the deadline of its request

Callers got 502 or 504 for a request whose time was over, by chance. Cause: the deadline of the request and the time-out of its exchange fall on the same moment, and the timer of the exchange may run first. Both codes promise nothing to the caller.

--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -440,6 +440,9 @@
             and self._retry_budget.try_spend(call.selection_req.service, self._now())
         ):
             return None
+        if self._now() + MIN_ATTEMPT_TIME_S >= call.selection_req.deadline_s:
+            # The exchange ends at the deadline too, and its timer may be first.
+            return self._fail_at_deadline(call)
         return self._fail(call, 502, result.reason)
 
     def _can_retry(self, call: Call, result: Exchange) -> bool:
