Play rate-limited servers in make soak, with a planted fault

Cause: the fleet of entry hosts in virtual time lay in the tests, so that make soak played no server that names a limit. Change: the fleet moves to devtools/entry_soak; each round of the soak plays it with restarts, freezes, cuts and lost datagrams; the planted fault ignore-rate-limit must break the invariant rate_limit. The virtual loop takes a least step, without which a wait below the clock's resolution never ends.

--- /dev/null
+++ b/src/crocusward/devtools/entry_soak/__init__.py
@@ -0,0 +1,14 @@
+"""Randomised runs of many entry daemons in virtual time."""
+
+from ._fleet import LimitedFleet, make_servers, play_faults
+from ._servers import ALLOWED_EXTRA, ALLOWED_FACTOR, WINDOW_S, LimitedServer
+
+__all__ = [
+    "ALLOWED_EXTRA",
+    "ALLOWED_FACTOR",
+    "WINDOW_S",
+    "LimitedFleet",
+    "LimitedServer",
+    "make_servers",
+    "play_faults",
+]
--- a/src/crocusward/devtools/virtual_loop.py
+++ b/src/crocusward/devtools/virtual_loop.py
@@ -7,8 +7,9 @@
 class _JumpingSelector(selectors.BaseSelector):
     """Advances the virtual clock instead of waiting."""
 
-    def __init__(self) -> None:
+    def __init__(self, step_s: float) -> None:
         self.now_s = 0.0
+        self._step_s = step_s
         self._inner = selectors.SelectSelector()
 
     def register(self, fileobj, events, data=None):
@@ -20,7 +21,7 @@
     def select(self, timeout=None):
         if timeout is None:
             raise RuntimeError("the virtual loop has nothing left to run")
-        self.now_s += max(0.0, timeout)
+        self.now_s += max(self._step_s, timeout)
         return []
 
     def get_map(self):
@@ -31,10 +32,15 @@
 
 
 class VirtualLoop(asyncio.SelectorEventLoop):
-    """Runs coroutines in virtual time; no sockets may be used."""
+    """Runs coroutines in virtual time; no sockets may be used.
 
-    def __init__(self) -> None:
-        self._jumping = _JumpingSelector()
+    Args:
+        step_s: Least time between two iterations. With 0.0 a wait that is shorter than
+            the resolution of the clock never ends.
+    """
+
+    def __init__(self, step_s: float = 0.0) -> None:
+        self._jumping = _JumpingSelector(step_s)
         super().__init__(self._jumping)
         self._clock_resolution = 1e-9
 
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -3,6 +3,15 @@
 import unittest
 from unittest import mock
 
+from crocusward.devtools.entry_soak import (
+    ALLOWED_EXTRA,
+    ALLOWED_FACTOR,
+    WINDOW_S,
+    LimitedFleet,
+    LimitedServer,
+    make_servers,
+    play_faults,
+)
 from crocusward.neighbours import (
     BackendObservation,
     MessageError,
@@ -26,15 +35,6 @@
 from crocusward.relay import RateLimitTracker, SlotFinder
 
 from .entry_support import RelayOnLoopback, backend, desired, reply, route
-from .limited_fleet import (
-    ALLOWED_EXTRA,
-    ALLOWED_FACTOR,
-    WINDOW_S,
-    LimitedFleet,
-    LimitedServer,
-    make_servers,
-    play_faults,
-)
 from .scripted_server import ScriptedServer
 from .test_placing import SelectorFixture
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,6 +13,7 @@
     "false-not-run": InvariantName.NOT_RUN,
     "ignore-drain": InvariantName.DATA_CENTRE_OUT,
     "ignore-leaving": InvariantName.BACKEND_LEAVING,
+    "ignore-rate-limit": InvariantName.RATE_LIMIT,
     "leak-region": InvariantName.RESIDENCY,
     "overload-cold": InvariantName.COLD_START,
     "probe-flood": InvariantName.PROBE_BUDGET,
