Move lookups of neighbours from the hub to their table

Cause: the hub had grown with the permits. Change: NeighbourTable finds a neighbour by address and lists those that stay.

--- a/src/crocusward/entryd/_hub.py
+++ b/src/crocusward/entryd/_hub.py
@@ -149,7 +149,7 @@
             reserve_slot,
             cancel_reservation,
             issue_permit,
-            self._neighbour_at,
+            neighbours.find_host,
         )
         self._rate_limits = RateLimitExchange(
             facts.name,
@@ -278,28 +278,18 @@
             and host.host != self._facts.name
         ]
 
-    def _neighbour_at(self, address: str) -> str:
-        """Return the name of the neighbour with an IP address, "" if there is none."""
-        for neighbour in self._neighbours.neighbours.values():
-            if neighbour.address == address:
-                return neighbour.host
-        return ""
-
     def _list_members(self) -> GroupMembers:
         """Return the hosts of this group that can issue permits."""
-        live = {
+        live = [
             neighbour.host
             for neighbour in self._neighbours.list_live(self._timer.now())
             if not neighbour.is_leaving
-        }
-        staying = [
-            neighbour
-            for neighbour in self._neighbours.neighbours.values()
-            if not neighbour.is_leaving
         ]
+        known_count = len(self._neighbours.list_staying())
         if not self.is_leaving:
-            live.add(self._facts.name)
-        return GroupMembers(sorted(live), len(staying) + (not self.is_leaving))
+            live.append(self._facts.name)
+            known_count += 1
+        return GroupMembers(sorted(live), known_count)
 
     # Messages.
 
--- a/src/crocusward/neighbours/_table.py
+++ b/src/crocusward/neighbours/_table.py
@@ -118,6 +118,17 @@
             if now_s - n.last_report_s < SILENCE_TIMEOUT_S
         ]
 
+    def list_staying(self) -> list[Neighbour]:
+        """Return the neighbours that are not leaving, silent ones included."""
+        return [n for n in self.neighbours.values() if not n.is_leaving]
+
+    def find_host(self, address: str) -> str:
+        """Return the name of the neighbour with an IP address, "" if there is none."""
+        for neighbour in self.neighbours.values():
+            if neighbour.address == address:
+                return neighbour.host
+        return ""
+
     def remove_expired(self, now_s: float) -> list[str]:
         """Remove neighbours silent for ``FORGET_AFTER_S``; return their names."""
         expired = [
