Do not count what daemons cannot know in the soak's check of limits

Cause: the check, not the daemons. Trace: all six daemons are killed at 365.3 s and restarted while every answer of the servers names its limit twice, one value of it invalid (365.4 to 367.5 s), which counts as no limit. Until 367.5 s no answer tells a limit to any running daemon, and the ten requests in excess arrive from 366.6 to 367.45 s. The promise binds hosts that have passed on an answer with the limit, and excuses a restart. Change: servers note their answers with one valid value, daemons their starts. A request is not counted only if all daemons of the server's data centre were started since the last such answer (0.5 s before the request or earlier). One daemon that stayed up, or one valid answer, and it counts as before; both are tested on planted histories.

--- a/src/crocusward/devtools/fault_soak/_checks.py
+++ b/src/crocusward/devtools/fault_soak/_checks.py
@@ -1,5 +1,6 @@
 """The promises, checked against what callers and backend servers saw."""
 
+import bisect
 from collections import Counter
 
 from ._callers import PROMISES, Asked
@@ -14,6 +15,7 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_EXTRA = 5
+LIMIT_KNOWN_S = 0.5  # from an answer with a limit until the daemons know it
 HOME_PREFIX = "/home/"
 
 
@@ -62,6 +64,8 @@
         unstable: Times in which bounds do not count.
         stops: Planned stops, by name of the daemon.
         limits: Times in which servers name rate limits.
+        namings_s: When a server answered with a valid limit, by its id, in order.
+        starts_s: When each daemon of a data centre was started.
         harmed: Times in which the path to a server was harmed, by its id.
     """
 
@@ -74,6 +78,8 @@
         self.unstable: list[Span] = []
         self.stops: list[tuple[str, float]] = []
         self.limits: list[LimitSpan] = []
+        self.namings_s: dict[str, list[float]] = {}
+        self.starts_s: dict[str, list[list[float]]] = {}
         self.harmed: dict[str, list[Span]] = {}
 
     def broken(self) -> list[str]:
@@ -183,8 +189,9 @@
     def _limits(self) -> list[str]:
         """Return servers that got more than their limit, from all daemons together.
 
-        Faults of daemons excuse nothing here. A path that was harmed may deliver
-        requests late and together.
+        Faults of daemons excuse nothing here, unless all daemons of the data centre
+        were started since the server last named a valid limit: none can know it then.
+        A path that was harmed may deliver requests late and together.
         """
         found = []
         for limit in self.limits:
@@ -194,6 +201,7 @@
                 if run.server == limit.server
                 and limit.start_s + LIMIT_STABLE_S < run.at_s < limit.end_s
                 and not self._is_harmed(limit.server, run.at_s)
+                and self._is_limit_known(run)
             )
             allowed = LIMIT_FACTOR * LIMIT_WINDOW_S * limit.per_s + LIMIT_EXTRA
             for index, first_s in enumerate(times):
@@ -207,6 +215,17 @@
                     break
         return found
 
+    def _is_limit_known(self, run: Run) -> bool:
+        """Return whether a daemon that runs may have been told the server's limit."""
+        namings_s = self.namings_s.get(run.server, [])
+        count = bisect.bisect(namings_s, run.at_s - LIMIT_KNOWN_S)
+        named_s = namings_s[count - 1] if count else -1e9
+        daemons = self.starts_s.get(run.data_centre, [])
+        return not daemons or not all(
+            any(named_s < start_s < run.at_s for start_s in starts_s)
+            for starts_s in daemons
+        )
+
     def _is_harmed(self, server: str, at_s: float) -> bool:
         spans = self.harmed.get(server, ())
         return any(s.start_s <= at_s <= s.end_s + STABLE_S for s in spans)
--- a/src/crocusward/devtools/fault_soak/_daemons.py
+++ b/src/crocusward/devtools/fault_soak/_daemons.py
@@ -20,6 +20,7 @@
         address: Loopback address of its host.
         data_centre: Its data centre.
         disturbed_s: When it was last started, signalled or paused, in seconds.
+        starts_s: When it was started, in seconds.
     """
 
     def __init__(
@@ -36,6 +37,7 @@
         self.address = address
         self.data_centre = data_centre
         self.disturbed_s = 0.0
+        self.starts_s: list[float] = []
         self.paused = False
         self.stopping_s: float | None = None
         self._settings = directory / f"{name}.json"
@@ -91,6 +93,7 @@
             await self._process.wait()
         self._is_killed = False
         self._touch()
+        self.starts_s.append(self.disturbed_s)
         self.stopping_s = None
         env = {**os.environ, "CROCUSWARD_BOOT": str(self._settings)}
         with self._log.open("ab") as log:
--- a/src/crocusward/devtools/fault_soak/_targets.py
+++ b/src/crocusward/devtools/fault_soak/_targets.py
@@ -60,6 +60,7 @@
         service: str,
         data_centre: str,
         runs: list[Run],
+        namings_s: list[float],
         rng: random.Random,
         *,
         slots: int = 2,
@@ -73,6 +74,7 @@
         self.slots = slots
         self.listener = Listener(self, "127.0.0.1", 0)
         self._runs = runs
+        self._namings_s = namings_s
         self._rng = rng
         self._busy = 0
         self._waiting: list[tuple[Connection, StandinRequest]] = []
@@ -113,6 +115,8 @@
             self._start(conn, req)
 
     def _limit_lines(self) -> bytes:
+        if len(self.limits) == 1:
+            self._namings_s.append(asyncio.get_running_loop().time())
         return b"".join(b"Server-Limit: %s\r\n" % x.encode() for x in self.limits)
 
     def _start(self, conn: Connection, req: StandinRequest) -> None:
--- a/src/crocusward/devtools/fault_soak/_world.py
+++ b/src/crocusward/devtools/fault_soak/_world.py
@@ -190,7 +190,10 @@
         """Start a server and register it, at a given address if there is one."""
         self._number += 1
         id = f"i-{self._number}"
-        target = Target(id, service, data_centre, self.promises.runs, self.rng)
+        namings_s = self.promises.namings_s.setdefault(id, [])
+        target = Target(
+            id, service, data_centre, self.promises.runs, namings_s, self.rng
+        )
         await target.listener.open()
         if proxy is None:
             proxy = FaultProxy(("127.0.0.1", target.listener.port))
@@ -366,5 +369,8 @@
             await world.play(duration_s, first)
         finally:
             await world.close()
+        for daemon in world.daemons:
+            starts_s = world.promises.starts_s.setdefault(daemon.data_centre, [])
+            starts_s.append(daemon.starts_s)
         world.findings += world.promises.broken()
         return world
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -105,6 +105,21 @@
         limit.end_s = 5.0
         self.assertEqual(self.promises.broken(), [])
 
+    def test_work_beyond_a_limit_that_started_daemons_cannot_know(self):
+        self.promises.limits = [LimitSpan("i-1", 1.0, 0.0)]
+        self.promises.namings_s = {"i-1": [0.0, 2.0]}
+        self.promises.asked = [asked(id=f"q{n}", path="/look/x") for n in range(12)]
+        self.promises.runs = [
+            run(id=f"q{n}", path="/look/x", at_s=4.0 + n / 4) for n in range(12)
+        ]
+        for starts_s in ([[1.0], [3.0]], [[3.0], [7.0]]):
+            self.promises.starts_s = {"east-a": starts_s, "west-a": [[3.0]]}
+            self.assert_broken("limit")
+        self.promises.starts_s = {"east-a": [[0.5, 3.0], [3.0]]}
+        self.assertEqual(self.promises.broken(), [])
+        self.promises.namings_s = {"i-1": [0.0, 2.0, 3.5]}
+        self.assert_broken("limit")
+
     def test_cut_by_a_planned_stop(self):
         self.promises.asked = [asked(status=0, sent_s=11.0, ended_s=11.5)]
         self.promises.stops = [("h1", 10.0)]
