Let permits expire one second after their issue

Cause: a host used a permit whenever it read it. A host that is suspended while the permit lies in its socket, or that waits for a connection, acts on it seconds later, beside the permits that the coordinator issued meanwhile. Change: the coordinator's answer says how long the request waited there; the permit ends one second after that, counted from the request for it by the clock that goes on while the host is suspended. It is checked just before the first byte is written; the request then looks for another server. Requests for permits carry the request's id for the coordinator's log, so that `crocusward explain` shows both sides.

--- a/src/crocusward/entryd/_hub.py
+++ b/src/crocusward/entryd/_hub.py
@@ -150,6 +150,7 @@
             cancel_reservation,
             issue_permit,
             neighbours.find_host,
+            limit_clock,
         )
         self._rate_limits = RateLimitExchange(
             facts.name,
@@ -422,7 +423,7 @@
         if host is None or name == self._facts.name:
             return None
         return await self._slot_broker.request_slot(
-            req, self._groups.own, [host], True, max_wait_s, event="permit"
+            req, self._groups.own, [host], True, max_wait_s, is_permit=True
         )
 
     def release(self, slot: ReservedSlot) -> None:
--- a/src/crocusward/entryd/_slot_broker.py
+++ b/src/crocusward/entryd/_slot_broker.py
@@ -12,7 +12,7 @@
     SlotRelease,
     SlotRequest,
 )
-from ..placing import Selection, SelectionRequest
+from ..placing import PERMIT_LIFETIME_S, Selection, SelectionRequest
 from ..relay import NO_FREE_SLOT, PermitAnswer, ReservedSlot
 from ..timing import TimerService
 
@@ -35,6 +35,7 @@
         cancel_reservation: Releases such a slot.
         issue_permit: Issues a permit for a rate-limited server to a neighbour.
         neighbour_at: Returns the neighbour with an IP address, "" if there is none.
+        limit_clock: Clock of rate limits, in seconds.
     """
 
     __slots__ = (
@@ -46,6 +47,7 @@
         "_cancel_reservation",
         "_issue_permit",
         "_neighbour_at",
+        "_limit_clock",
         "_answer_tasks",
         "_pending_offers",
         "_reply_times_s",
@@ -63,6 +65,7 @@
         cancel_reservation: Callable[[tuple[str, int]], None],
         issue_permit: Callable[..., Awaitable[PermitAnswer]],
         neighbour_at: Callable[[str], str],
+        limit_clock: Callable[[], float],
     ) -> None:
         self._timer = timer
         self._rng = rng
@@ -72,6 +75,7 @@
         self._cancel_reservation = cancel_reservation
         self._issue_permit = issue_permit
         self._neighbour_at = neighbour_at
+        self._limit_clock = limit_clock
         self._answer_tasks: dict[tuple[str, int], asyncio.Task[None]] = {}
         self._pending_offers: dict[int, asyncio.Future[SlotOffer]] = {}
         self._reply_times_s: dict[str, float] = {}
@@ -86,22 +90,27 @@
         can_share: bool,
         max_wait_s: float,
         *,
-        event: str = "place",
+        is_permit: bool = False,
     ) -> ReservedSlot | None:
         """Request a slot at a server of a group from one of its hosts.
 
+        A permit counts from its issue, so one that is read late, after this host was
+        suspended for a while, has expired.
+
         Args:
             req: The request to place.
             group: Name of the group.
             hosts: Hosts of the group.
             can_share: Whether a server that already has requests is acceptable.
             max_wait_s: How long the host may wait for a free slot.
-            event: First word of the logged events.
+            is_permit: Whether to request a permit for a rate-limited server, from the
+                coordinator of this group.
 
         Returns:
             The offered slot, with the server ``NO_FREE_SLOT`` if there is none; or None
             if the host did not answer in time, or no host may be asked at present.
         """
+        event = "permit" if is_permit else "place"
         now_s = self._timer.now()
         responsive = [
             h for h in hosts if self._paused_until_s.get(h.host, -1.0) < now_s
@@ -118,7 +127,9 @@
             req.service_time_s,
             can_share,
             max_wait_s,
+            req.id if is_permit else "",
         )
+        asked_s = self._limit_clock()
         reply_time_s = self._reply_times_s.get(group, INITIAL_REPLY_TIME_S)
         offer = await self._send_request(
             request, host, max_wait_s + REPLY_TIMEOUT_FACTOR * reply_time_s
@@ -153,6 +164,7 @@
             offer.slowdown,
             offer.in_flight,
             offer.retry_after_s,
+            asked_s + offer.waited_s + PERMIT_LIFETIME_S if is_permit else None,
         )
 
     async def _send_request(
@@ -227,14 +239,17 @@
         self, request: SlotRequest, neighbour: str, sender: str
     ) -> None:
         """Answer a host of this group, which needs a slot only at a limited server."""
+        received_s = self._limit_clock()
         answer = await self._issue_permit(
             neighbour,
+            request.request_id,
             request.service,
             request.route,
             request.service_time_s,
             request.max_wait_s,
         )
         offer = SlotOffer(request.token, NO_FREE_SLOT)
+        offer.waited_s = self._limit_clock() - received_s
         if answer.load is None:
             offer.retry_after_s = answer.retry_after_s
         else:
--- a/src/crocusward/neighbours/_codec.py
+++ b/src/crocusward/neighbours/_codec.py
@@ -55,17 +55,18 @@
     if isinstance(message, Hello):
         return cbor2.dumps([HELLO, *_encode_host(message.host), message.known_count])
     if isinstance(message, SlotRequest):
-        return cbor2.dumps(
-            [
-                SLOT_REQUEST,
-                message.token,
-                message.service,
-                message.route,
-                int(message.service_time_s * MS_PER_S),
-                message.can_share,
-                int(message.max_wait_s * MS_PER_S),
-            ]
-        )
+        request: list[Any] = [
+            SLOT_REQUEST,
+            message.token,
+            message.service,
+            message.route,
+            int(message.service_time_s * MS_PER_S),
+            message.can_share,
+            int(message.max_wait_s * MS_PER_S),
+        ]
+        if message.request_id:
+            request.append(message.request_id)
+        return cbor2.dumps(request)
     if isinstance(message, SlotRelease):
         return cbor2.dumps([SLOT_RELEASE, message.token])
     if isinstance(message, IdleSummary):
@@ -80,8 +81,8 @@
             message.slowdown,
             message.in_flight,
         ]
-        if message.retry_after_s > 0.0:
-            offer.append(message.retry_after_s)
+        if message.retry_after_s > 0.0 or message.waited_s > 0.0:
+            offer += [message.retry_after_s, int(message.waited_s * MS_PER_S)]
         return cbor2.dumps(offer)
     hosts = [_encode_host(item) for item in message.hosts]
     return cbor2.dumps([MEMBER_LIST, hosts])
@@ -127,8 +128,9 @@
         if kind == HELLO:
             return Hello(EntryHost(*_check_three_strings(fields[1:4])), int(fields[4]))
         if kind == SLOT_REQUEST:
-            _, token, service, route, service_time_ms, can_share, wait_ms = fields
-            _check_three_strings([service, route, ""])
+            _, token, service, route, service_time_ms, can_share, wait_ms = fields[:7]
+            request_id = fields[7] if len(fields) > 7 else ""
+            _check_three_strings([service, route, request_id])
             return SlotRequest(
                 int(token),
                 service,
@@ -136,6 +138,7 @@
                 int(service_time_ms) / MS_PER_S,
                 bool(can_share),
                 int(wait_ms) / MS_PER_S,
+                request_id,
             )
         if kind == SLOT_RELEASE:
             return SlotRelease(int(fields[1]))
@@ -150,6 +153,7 @@
                 float(slowdown),
                 int(in_flight),
                 float(rest[0]) if rest else 0.0,
+                int(rest[1]) / MS_PER_S if len(rest) > 1 else 0.0,
             )
         if kind == RATE_LIMITS:
             return RateLimitReport(*_check_rate_limits(fields[1], fields[2]))
--- a/src/crocusward/neighbours/_messages.py
+++ b/src/crocusward/neighbours/_messages.py
@@ -193,6 +193,8 @@
         service_time_s: Expected service time of the caller's request.
         can_share: Whether a server that already has requests is acceptable.
         max_wait_s: How long the receiver may wait for a free slot.
+        request_id: Id of the caller's request, for the logs of the coordinator; "" in
+            requests to other groups.
     """
 
     __slots__ = (
@@ -202,6 +204,7 @@
         "service_time_s",
         "can_share",
         "max_wait_s",
+        "request_id",
     )
 
     def __init__(
@@ -212,6 +215,7 @@
         service_time_s: float,
         can_share: bool,
         max_wait_s: float,
+        request_id: str = "",
     ) -> None:
         self.token = token
         self.service = service
@@ -219,6 +223,7 @@
         self.service_time_s = service_time_s
         self.can_share = can_share
         self.max_wait_s = max_wait_s
+        self.request_id = request_id
 
 
 class SlotOffer(Record):
@@ -231,9 +236,17 @@
         in_flight: Other requests at the server.
         retry_after_s: When a slot is expected, if there is none; 0.0 if unknown. Sent
             only by the coordinator of a rate-limited service.
+        waited_s: How long the request waited for its permit at the coordinator.
     """
 
-    __slots__ = ("token", "backend", "slowdown", "in_flight", "retry_after_s")
+    __slots__ = (
+        "token",
+        "backend",
+        "slowdown",
+        "in_flight",
+        "retry_after_s",
+        "waited_s",
+    )
 
     def __init__(
         self,
@@ -242,12 +255,14 @@
         slowdown: float = 0.0,
         in_flight: int = 0,
         retry_after_s: float = 0.0,
+        waited_s: float = 0.0,
     ) -> None:
         self.token = token
         self.backend = backend
         self.slowdown = slowdown
         self.in_flight = in_flight
         self.retry_after_s = retry_after_s
+        self.waited_s = waited_s
 
 
 class SlotRelease(Record):
--- a/src/crocusward/placing/__init__.py
+++ b/src/crocusward/placing/__init__.py
@@ -10,7 +10,12 @@
 from ._load_table import BackendLoadTable
 from ._permits import GroupMembers, PermitIssuer
 from ._queue import QueuedRequest, RequestQueue
-from ._rate_limit import NO_LIMIT, PermitBucket, ServerRateLimit
+from ._rate_limit import (
+    NO_LIMIT,
+    PERMIT_LIFETIME_S,
+    PermitBucket,
+    ServerRateLimit,
+)
 from ._retry_budget import FleetRetryBudget
 from ._selection import (
     LimitedServers,
@@ -25,6 +30,7 @@
 
 __all__ = [
     "NO_LIMIT",
+    "PERMIT_LIFETIME_S",
     "BackendLoad",
     "BackendLoadTable",
     "BackendSelector",
--- a/src/crocusward/placing/_selection.py
+++ b/src/crocusward/placing/_selection.py
@@ -122,6 +122,8 @@
         release: Releases a slot that another group reserved, or None.
         begun_s: Monotonic time when the request was counted at the server, or None.
         needs_permit: Whether the coordinator must issue a permit for the server first.
+        permit_end_s: When the permit of another host expires, by the clock of rate
+            limits, or None.
         limited_count: Number of usable servers in this group with a rate limit.
         without_permit_count: Number of those that may get no request now.
         completions_per_s: Requests that this group completes in a second.
@@ -145,6 +147,7 @@
         "release",
         "begun_s",
         "needs_permit",
+        "permit_end_s",
         "limited_count",
         "without_permit_count",
         "completions_per_s",
@@ -174,6 +177,7 @@
         self.release: Callable[[], None] | None = None
         self.begun_s: float | None = None
         self.needs_permit = False
+        self.permit_end_s: float | None = None
         self.limited_count = 0
         self.without_permit_count = 0
         self.completions_per_s = 0.0
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -7,6 +7,7 @@
 from ..invariants import InvariantName, Invariants
 from ..neighbours import BackendObservation, ObservationKind
 from ..placing import (
+    PERMIT_LIFETIME_S,
     BackendLoad,
     BackendLoadTable,
     BackendSelector,
@@ -33,6 +34,9 @@
 STARTING_RETRY_AFTER_S = 0.5  # a desired state is normally loaded by then
 BODY_MEMORY_SHARE = 0.25  # share of the host's memory for request bodies
 BYTES_PER_MB = 1 << 20
+# Reasons why a selected server got no byte of a request.
+WITHDRAWN = "withdrawn"
+PERMIT_EXPIRED = "permit_expired"
 
 
 class Relay:
@@ -320,20 +324,29 @@
         call.attempts += 1
         self._notifier.notify_change(load, None)
         self._log.log_placed(call, selection)
-        task = asyncio.get_running_loop().create_task(self._run_exchange(call, load))
+        permit_end_s = selection.permit_end_s
+        if permit_end_s is None:
+            permit_end_s = self._rate_limits.now() + PERMIT_LIFETIME_S
+        task = asyncio.get_running_loop().create_task(
+            self._run_exchange(call, load, permit_end_s)
+        )
         # Not in the coroutine, which never runs if its task is cancelled at once.
         task.add_done_callback(
             lambda done: self._on_exchange_end(call, selection, done)
         )
         return task
 
-    async def _run_exchange(self, call: Call, load: BackendLoad) -> Exchange:
+    async def _run_exchange(
+        self, call: Call, load: BackendLoad, permit_end_s: float
+    ) -> Exchange:
         route = call.selection_req.route
         left_s = call.selection_req.deadline_s - self._now()
 
         def check_before_write() -> None:
             if not self._selector.is_allowed(load, route):
-                raise NotSentError("the server is out of service", code="withdrawn")
+                raise NotSentError("the server is out of service", code=WITHDRAWN)
+            if load.rate_limit and self._rate_limits.now() > permit_end_s:
+                raise NotSentError("the permit has expired", code=PERMIT_EXPIRED)
             self._invariants.check(
                 InvariantName.RESIDENCY,
                 not route.regions or load.region in route.regions,
@@ -449,9 +462,9 @@
         now_s = self._now()
         if now_s + MIN_ATTEMPT_TIME_S >= call.selection_req.deadline_s:
             return False
-        if (
-            result.observation.kind is ObservationKind.UNREACHABLE
-            or result.reason == "withdrawn"
+        if result.observation.kind is ObservationKind.UNREACHABLE or result.reason in (
+            WITHDRAWN,
+            PERMIT_EXPIRED,
         ):
             return True  # nothing was sent to a server
         return self._retry_budget.try_spend(call.selection_req.service, now_s)
--- a/src/crocusward/relay/_rate_limits.py
+++ b/src/crocusward/relay/_rate_limits.py
@@ -31,6 +31,10 @@
         self._now = now
         self._sampler = sampler
 
+    def now(self) -> float:
+        """Return the time of the clock of rate limits, in seconds."""
+        return self._now()
+
     def observe(
         self, load: BackendLoad, observation: BackendObservation, request_id: str = ""
     ) -> None:
--- a/src/crocusward/relay/_reserved_slot.py
+++ b/src/crocusward/relay/_reserved_slot.py
@@ -19,6 +19,8 @@
         slowdown: Slowdown of the server's machine; 1.0 is unloaded, 0.0 unknown.
         in_flight: Other requests in flight at the server.
         retry_after_s: When a slot is expected, if there is none; 0.0 if unknown.
+        expires_s: When a permit for a rate-limited server expires, by the clock of rate
+            limits, or None.
     """
 
     __slots__ = (
@@ -28,6 +30,7 @@
         "slowdown",
         "in_flight",
         "retry_after_s",
+        "expires_s",
     )
 
     def __init__(
@@ -38,6 +41,7 @@
         slowdown: float = 0.0,
         in_flight: int = 0,
         retry_after_s: float = 0.0,
+        expires_s: float | None = None,
     ) -> None:
         self.backend = backend
         self.address = address
@@ -45,6 +49,7 @@
         self.slowdown = slowdown
         self.in_flight = in_flight
         self.retry_after_s = retry_after_s
+        self.expires_s = expires_s
 
 
 class NeighbourNotifier(Protocol):
--- a/src/crocusward/relay/_slot_finder.py
+++ b/src/crocusward/relay/_slot_finder.py
@@ -310,6 +310,7 @@
             return False
         selection.release = None  # the coordinator reserves no slot
         selection.needs_permit = False
+        selection.permit_end_s = permit.expires_s
         return True
 
     async def _use_without_reservation(
--- a/src/crocusward/relay/_slot_offers.py
+++ b/src/crocusward/relay/_slot_offers.py
@@ -150,6 +150,7 @@
     async def issue_permit(
         self,
         neighbour: str,
+        request_id: str,
         service: str,
         route_name: str,
         service_time_s: float,
@@ -159,6 +160,7 @@
 
         Args:
             neighbour: Name of the host.
+            request_id: Id of the caller's request, for the log.
             service: Name of the service.
             route_name: Name of the route.
             service_time_s: Expected service time of the request, in seconds.
@@ -171,6 +173,7 @@
         self._rate_limits.events[name] += 1
         self._sampler.log(
             name,
+            id=request_id,
             host=neighbour,
             service=service,
             route=route_name,
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -28,11 +28,15 @@
     PermitBucket,
     PermitIssuer,
     QueuedRequest,
+    Refused,
     RequestQueue,
+    Selection,
+    SelectionVerdict,
     ServerRateLimit,
 )
 from crocusward.platform import parse_rate_limit
 from crocusward.relay import RateLimitTracker, SlotFinder
+from crocusward.timing import boot_time_s
 
 from .entry_support import RelayOnLoopback, backend, desired, reply, route
 from .scripted_server import ScriptedServer
@@ -259,6 +263,21 @@
             )
             self.assertEqual((per_s, events["backend_limit_ignored"]), (50.0, 1))
 
+    async def test_expired_permit_is_not_used(self):
+        """Guards against a permit that is used after it has run out."""
+        async with ScriptedServer([reply("q1", b"x")]) as server:
+            entry = backend("b0", port=server.port)
+            async with RelayOnLoopback(entry, state=desired(route())) as relay:
+                load = relay.book.loads["b0"]
+                load.rate_limit.observe(50.0, 0.0, boot_time_s())
+                expired = Selection(SelectionVerdict.PLACE, load)
+                expired.permit_end_s = boot_time_s() - 0.1
+                refused = Refused("no server", 0.1, code="no_backend")
+                found = mock.AsyncMock(side_effect=[expired, refused])
+                with mock.patch.object(SlotFinder, "find", found):
+                    answer = await (await relay.client()).ask()
+        self.assertEqual((answer.status, server.requests), (503, []))
+
 
 class GroupTest(unittest.TestCase):
     def test_replaced_server_has_no_limit(self):
