Send pending observations to all neighbours, not to one that is greeted

Cause: making a report emptied the pending observations also where the report went to a new neighbour alone, or to the readers of other groups. Change: only reports to all neighbours take what is pending.

--- a/src/crocusward/entryd/_hub.py
+++ b/src/crocusward/entryd/_hub.py
@@ -246,7 +246,7 @@
         self._neighbours.add(host.host, host.address, self._timer.now())
         log_event("neighbour_known", host=host.host, address=host.address)
         self._endpoint.send(self._make_hello(), [host.address])
-        self._endpoint.send(self._make_report(is_complete=True), [host.address])
+        self._endpoint.send(self._make_complete_report(), [host.address])
         self._rate_limits.report_all()
 
     def _regroup(self) -> None:
@@ -368,7 +368,7 @@
             for address in found[:READER_AUDIENCE_COUNT]
         ]
         if addresses:
-            self._endpoint.send(self._make_report(is_complete=True), addresses)
+            self._endpoint.send(self._make_complete_report(), addresses)
 
     # Idle summaries, sent to the other groups of the region by the first in rank.
 
@@ -445,43 +445,45 @@
 
     def report_versions(self) -> None:
         """Report at once the versions of this host's tables."""
-        self._send_report(self._make_report(is_complete=False))
+        self._send_changes()
         self._report_to_other_groups()
 
     def _flush(self) -> None:
         self._is_flush_scheduled = False
-        self._send_report(self._make_report(is_complete=False))
+        self._send_changes()
 
-    def _send_report(self, report: HostReport) -> None:
+    def _send_changes(self) -> None:
+        """Report the changed backend servers and what is pending to the neighbours."""
+        loads = self._book.loads
+        in_flight = {
+            id: loads[id].own_in_flight for id in self._changed_backends if id in loads
+        }
+        self._send_pending(self._make_report(in_flight, is_complete=False))
+
+    def _send_pending(self, report: HostReport) -> None:
+        """Send a report to all neighbours, with the pending observations."""
+        report.observations = self._observations
+        report.idle_summaries = list(self._idle_summaries.values())
+        self._changed_backends = set()
+        self._observations = []
+        self._idle_summaries = {}
         self._endpoint.send(
             report, [n.address for n in self._neighbours.neighbours.values()]
         )
 
-    def _make_report(self, *, is_complete: bool) -> HostReport:
-        """Return the next report, and take what is pending for it.
+    def _make_complete_report(self) -> HostReport:
+        """Return a report of all backend servers, without pending observations."""
+        in_flight = {
+            id: load.own_in_flight
+            for id, load in self._book.loads.items()
+            if load.own_in_flight
+        }
+        return self._make_report(in_flight, is_complete=True)
 
-        The pending observations, changed backend servers and idle summaries are empty
-        afterwards, whoever the report is sent to.
-        """
+    def _make_report(
+        self, in_flight: dict[str, int], *, is_complete: bool
+    ) -> HostReport:
         self._seq += 1
-        loads = self._book.loads
-        if is_complete:
-            in_flight = {
-                id: load.own_in_flight
-                for id, load in loads.items()
-                if load.own_in_flight
-            }
-        else:
-            in_flight = {
-                id: loads[id].own_in_flight
-                for id in self._changed_backends
-                if id in loads
-            }
-        observations = self._observations
-        idle_summaries = list(self._idle_summaries.values())
-        self._changed_backends = set()
-        self._observations = []
-        self._idle_summaries = {}
         return HostReport(
             self._facts.name,
             self._incarnation,
@@ -492,8 +494,6 @@
             is_leaving=self.is_leaving,
             is_complete=is_complete,
             in_flight=in_flight,
-            observations=observations,
-            idle_summaries=idle_summaries,
         )
 
     def _schedule_report(self) -> None:
@@ -506,7 +506,7 @@
     def _send_periodic_report(self) -> None:
         self._schedule_report()
         if self._neighbours.neighbours:
-            self._send_report(self._make_report(is_complete=True))
+            self._send_pending(self._make_complete_report())
             self._rate_limits.report_all()
         self._report_to_other_groups()
         self._check_silence()
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -6,6 +6,7 @@
 import cbor2
 
 from crocusward.desired import EntryHost
+from crocusward.devtools.entry_soak import LimitedFleet, make_servers
 from crocusward.logs import EventSampler
 from crocusward.neighbours import (
     BackendObservation,
@@ -183,3 +184,20 @@
         await asyncio.sleep(0.01)
         endpoint.send(Hello(EntryHost("h1", "127.0.0.1", "east-a"), 1), ["127.0.0.1"])
         self.assertEqual((errors, endpoint.sent_count), ([], 0))
+
+
+class HubTest(unittest.TestCase):
+    def test_new_neighbour_does_not_take_the_observations_of_the_others(self):
+        """Guards against observations that only the host being greeted receives."""
+        fleet = LimitedFleet(1, make_servers(3, 0.0, 1.0), hosts_per_data_centre=2)
+        self.addCleanup(fleet.close)
+        hub = fleet.hosts["host-east-a-0"].hub
+        known = fleet.hosts["host-east-a-1"].address
+        sent = []
+        hub._endpoint.send = lambda message, to: sent.append((message, list(to)))
+        seen = BackendObservation("i-000", ObservationKind.FAILED)
+        hub._observations.append(seen)
+        hub.add_hosts([EntryHost("host-east-a-9", "10.9.0.9", "east-a")])
+        hub._send_changes()
+        got = [m for m, to in sent if isinstance(m, HostReport) and known in to]
+        self.assertEqual([item.observations for item in got], [[seen]])
