--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -333,6 +333,16 @@
         fleet.play(per_s=200.0, until_s=9.0)
         self.assert_limits_kept(fleet, 1.0)
 
+    def test_limits_hold_while_groups_change(self):
+        """Guards against two groups that both issue permits for one server."""
+        servers = make_servers(36, 1.0, 1.0, begin_s=2.5)
+        fleet = self.fleet(15, servers, hosts_per_data_centre=17, loss=0.02)
+        for name, _, _ in fleet.places[::5]:
+            # Long enough for the others to forget the host, which changes the groups.
+            fleet.at(4.0, fleet.restart, name, 8.0)
+        fleet.play(per_s=60.0, until_s=16.0)
+        self.assert_limits_kept(fleet, 1.0)
+
     def test_limits_are_used(self):
         """Guards against limited servers that get much less than they take."""
         fleet = self.fleet(7, make_servers(18, 1.0, 2.0, begin_s=3.0))
