--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -333,14 +333,23 @@
         fleet.play(per_s=200.0, until_s=9.0)
         self.assert_limits_kept(fleet, 1.0)
 
+    @mock.patch("crocusward.neighbours._table.FORGET_AFTER_S", 2.0)
     def test_limits_hold_while_groups_change(self):
         """Guards against two groups that both issue permits for one server."""
         servers = make_servers(36, 1.0, 1.0, begin_s=2.5)
         fleet = self.fleet(15, servers, hosts_per_data_centre=17, loss=0.02)
+        group_counts = set()
+
+        def count_groups():
+            groups = fleet.hosts[fleet.places[1][0]].table.groups
+            group_counts.add(groups._group_counts["east-a"])
+
         for name, _, _ in fleet.places[::5]:
-            # Long enough for the others to forget the host, which changes the groups.
-            fleet.at(4.0, fleet.restart, name, 8.0)
+            fleet.at(4.0, fleet.restart, name, 6.0)
+        for at_s in (3.0, 9.0):
+            fleet.at(at_s, count_groups)
         fleet.play(per_s=60.0, until_s=16.0)
+        self.assertEqual(group_counts, {2, 3})
         self.assert_limits_kept(fleet, 1.0)
 
     def test_limits_are_used(self):
