Keep rate limits of backend servers at the own interface too

Cause: the same class as at the entry daemon: no header was read, and nothing but slow start keeps a rate over all hosts. Change: the header x-backend-rate-limit is read from answers and probes, with the parser of the entry daemon, which moves to upstream. One host of the server's region issues permits from a token bucket; hosts with queued requests wait for them in turn. A permit expires 1 s after the request for it, a new coordinator waits as long and starts empty, and issues the share of the limit that its linked hosts are of the known ones. What a limited server cannot take goes to others; the queue sheds fairly, at once and with a true Retry-After, what the limits leave no time. Limits end with an answer that names none, and with another run of the server. Changes and permits are logged; `crocusward status` shows limited servers.

--- a/src/crocusward/daemon/_node.py
+++ b/src/crocusward/daemon/_node.py
@@ -98,6 +98,7 @@
             link=LinkBudget(timer, share, options.link_bits_per_s),
             options=options.routing,
             faults=faults,
+            limit_clock=options.limit_clock,
         )
         self.limiter = RateLimiter(timer, share)
         issuer = KeyIssuer(
--- a/src/crocusward/daemon/_options.py
+++ b/src/crocusward/daemon/_options.py
@@ -5,6 +5,7 @@
 from ..model import Record
 from ..routing import RoutingOptions
 from ..settings import Settings
+from ..timing import boot_time_s
 
 BITS_PER_MBIT = 1e6
 
@@ -43,6 +44,8 @@
         utc_s: Returns wall-clock time, for people only, in seconds.
         entries_of: Returns the entry addresses of a region.
         faults: Names of injected faults, which test the assertions.
+        limit_clock: Clock of rate limits in seconds; goes on while the host is
+            suspended.
     """
 
     __slots__ = (
@@ -57,6 +60,7 @@
         "utc_s",
         "entries_of",
         "faults",
+        "limit_clock",
     )
 
     def __init__(
@@ -73,6 +77,7 @@
         utc_s: Callable[[], int],
         entries_of: Callable[[str], tuple[str, ...]] = lambda region: (),
         faults: frozenset[str] = frozenset(),
+        limit_clock: Callable[[], float] = boot_time_s,
     ) -> None:
         self.policy = policy
         self.max_hosts = max_hosts
@@ -85,6 +90,7 @@
         self.utc_s = utc_s
         self.entries_of = entries_of
         self.faults = faults
+        self.limit_clock = limit_clock
 
     @classmethod
     def from_settings(
--- a/src/crocusward/daemon/_peer_events.py
+++ b/src/crocusward/daemon/_peer_events.py
@@ -15,6 +15,9 @@
     OutcomeReply,
     OutcomeRequest,
     PeerIdentity,
+    RateLimitPermit,
+    RateLimitPermitRequest,
+    RateLimitReport,
     SlowStartPermit,
     SlowStartPermitRequest,
     SlowStartReport,
@@ -23,8 +26,11 @@
 from ..timing import TimerService
 from ._membership import Membership
 
-WARMTH_MESSAGES = (
+ROUTING_MESSAGES = (
     BackendCold,
+    RateLimitPermit,
+    RateLimitPermitRequest,
+    RateLimitReport,
     SlowStartPermitRequest,
     SlowStartPermit,
     SlowStartReport,
@@ -95,7 +101,7 @@
         """Handle a message of a peer."""
         if isinstance(message, Heartbeat):
             self._take_heartbeat(peer, message)
-        elif isinstance(message, WARMTH_MESSAGES):
+        elif isinstance(message, ROUTING_MESSAGES):
             self._router.on_peer_message(peer.host, message)
         else:
             self._take_config(peer, message)
@@ -105,6 +111,7 @@
         self._config.link_opened(peer.host)
         self._membership.linked(peer)
         self.send(peer.host, self._router.make_slow_start_report(True))
+        self.send(peer.host, self._router.make_rate_limit_report())
         log_event("peer_up", peer=peer.host, region=peer.region)
 
     def on_peer_down(self, peer: PeerIdentity, gone: bool) -> None:
--- a/src/crocusward/daemon/_process.py
+++ b/src/crocusward/daemon/_process.py
@@ -258,6 +258,7 @@
         boot=cfg.boot,
         shed=cfg.shed,
         draining=cfg.draining,
+        rate_limit=cfg.rate_limit,
     )
 
 
--- a/src/crocusward/daemon/_status.py
+++ b/src/crocusward/daemon/_status.py
@@ -85,4 +85,7 @@
             return "leaving"
         if data_centre in table.out_since or not table.views[backend].is_open:
             return "out"
-        return "warm" if table.slow_start_states[backend].is_warm else "cold"
+        if not table.slow_start_states[backend].is_warm:
+            return "cold"
+        is_limited = self._node.router.rate_limits.is_limited(backend)
+        return "limited" if is_limited else "warm"
--- a/src/crocusward/dispatch/_attempts.py
+++ b/src/crocusward/dispatch/_attempts.py
@@ -234,7 +234,10 @@
             raise
         service_s = self._timer.now() - started_s
         trace.service_s += service_s
-        self._router.finish(reservation, ExchangeResult.from_answer(answer, service_s))
+        self._router.finish(
+            reservation,
+            ExchangeResult.from_answer(answer, service_s, call.request_id),
+        )
         if not answer.shed:
             return answer
         self._after_shed(call, reservation, state)
--- a/src/crocusward/limits/_fair_queue.py
+++ b/src/crocusward/limits/_fair_queue.py
@@ -101,14 +101,21 @@
     def __len__(self) -> int:
         return self._size
 
-    def push(self, item: QueuedItem[T]) -> QueuedItem[T] | None:
+    def push(
+        self, item: QueuedItem[T], limit: int | None = None
+    ) -> QueuedItem[T] | None:
         """Queue a request and return the one that was shed for it, or None.
 
+        Args:
+            item: The request.
+            limit: Largest number of queued requests at present, if it is lower than
+                that of the queue.
+
         Raises:
             Refusal: ``queue_full``: no queued request can be shed.
         """
         victim = None
-        if self._size >= self._limit:
+        if self._size >= min(self._limit, limit or self._limit):
             victim = self._select_victim(item)
             if victim is None:
                 raise Refusal(RefusalCode.QUEUE_FULL, "the request queue is full")
--- a/src/crocusward/model/_call.py
+++ b/src/crocusward/model/_call.py
@@ -108,6 +108,9 @@
         boot: Boot id that the server reported, or "" if absent.
         shed: True if the server shed the request before running it.
         draining: True if the server reported that it is draining.
+        rate_limit_per_s: Requests per second that the server takes from all hosts,
+            0.0 if it names no limit, -1 if unknown.
+        rate_limit_error: Why a limit that it named is not valid, or "".
     """
 
     __slots__ = (
@@ -119,6 +122,8 @@
         "boot",
         "shed",
         "draining",
+        "rate_limit_per_s",
+        "rate_limit_error",
     )
 
     def __init__(
@@ -132,6 +137,8 @@
         boot: str = "",
         shed: bool = False,
         draining: bool = False,
+        rate_limit_per_s: float = -1.0,
+        rate_limit_error: str = "",
     ) -> None:
         self.request_id = request_id
         self.status = status
@@ -141,3 +148,5 @@
         self.boot = boot
         self.shed = shed
         self.draining = draining
+        self.rate_limit_per_s = rate_limit_per_s
+        self.rate_limit_error = rate_limit_error
--- a/src/crocusward/peer/_formats.py
+++ b/src/crocusward/peer/_formats.py
@@ -24,6 +24,10 @@
     OfferedRate,
     OutcomeReply,
     OutcomeRequest,
+    RateLimitEntry,
+    RateLimitPermit,
+    RateLimitPermitRequest,
+    RateLimitReport,
     SlowStartAllowance,
     SlowStartPermit,
     SlowStartPermitRequest,
@@ -38,6 +42,8 @@
 MAX_OFFERED_RATES = 4096
 MAX_CHANGES = 4096
 MAX_SLOW_START_ENTRIES = 4096
+MAX_RATE_LIMIT_ENTRIES = 4096
+MAX_PERMITS = 1 << 10
 MAX_KEY_CHARS = 1024
 MAX_PATH_CHARS = 16_384
 MAX_REASON_CHARS = 4096
@@ -378,3 +384,71 @@
     def read(fields: FieldReader) -> SlowStartPermit:
         """Build the message from its fields."""
         return SlowStartPermit(fields.text(), fields.text(), fields.integer(0))
+
+
+@message_format(14, RateLimitReport)
+class RateLimitReportFormat:
+    """Writes and reads ``RateLimitReport``."""
+
+    @staticmethod
+    def write(message: RateLimitReport) -> list[Any]:
+        """Return the fields."""
+        return [[[e.backend, e.boot, e.per_s, e.age_ms] for e in message.entries]]
+
+    @staticmethod
+    def read(fields: FieldReader) -> RateLimitReport:
+        """Build the message from its fields."""
+        items = fields.items(MAX_RATE_LIMIT_ENTRIES)
+        return RateLimitReport(tuple(_read_rate_limit(item) for item in items))
+
+
+def _read_rate_limit(item: Any) -> RateLimitEntry:
+    fields = FieldReader(item)
+    entry = RateLimitEntry(
+        fields.text(),
+        fields.text(),
+        fields.number(MAX_RATE_PER_S),
+        fields.integer(0, MAX_AGE_MS),
+    )
+    fields.check_end()
+    return entry
+
+
+@message_format(15, RateLimitPermitRequest)
+class RateLimitPermitRequestFormat:
+    """Writes and reads ``RateLimitPermitRequest``."""
+
+    @staticmethod
+    def write(message: RateLimitPermitRequest) -> list[Any]:
+        """Return the fields."""
+        return [list(message.backends), message.count, message.asked_ms]
+
+    @staticmethod
+    def read(fields: FieldReader) -> RateLimitPermitRequest:
+        """Build the message from its fields."""
+        items = fields.items(MAX_RATE_LIMIT_ENTRIES)
+        return RateLimitPermitRequest(
+            tuple(FieldReader([item]).text() for item in items),
+            fields.integer(1, MAX_PERMITS),
+            fields.integer(0),
+        )
+
+
+@message_format(16, RateLimitPermit)
+class RateLimitPermitFormat:
+    """Writes and reads ``RateLimitPermit``."""
+
+    @staticmethod
+    def write(message: RateLimitPermit) -> list[Any]:
+        """Return the fields."""
+        return [message.backend, message.host, message.count, message.asked_ms]
+
+    @staticmethod
+    def read(fields: FieldReader) -> RateLimitPermit:
+        """Build the message from its fields."""
+        return RateLimitPermit(
+            fields.text(),
+            fields.text(),
+            fields.integer(1, MAX_PERMITS),
+            fields.integer(0),
+        )
--- a/src/crocusward/peer/_messages.py
+++ b/src/crocusward/peer/_messages.py
@@ -245,6 +245,75 @@
         self.entries = entries
 
 
+class RateLimitEntry(Record):
+    """Rate limit of one backend server, as the sender knows it.
+
+    Attributes:
+        backend: Backend id.
+        boot: Boot id that named the limit, or "".
+        per_s: Requests per second that the server takes from all hosts together, 0.0
+            if it names no limit any more.
+        age_ms: Age of that knowledge, in milliseconds.
+    """
+
+    __slots__ = ("backend", "boot", "per_s", "age_ms")
+
+    def __init__(self, backend: str, boot: str, per_s: float, age_ms: int) -> None:
+        self.backend = backend
+        self.boot = boot
+        self.per_s = per_s
+        self.age_ms = age_ms
+
+
+class RateLimitReport(Message):
+    """Reports rate limits of backend servers.
+
+    Attributes:
+        entries: Limits that changed, or all that are in force.
+    """
+
+    __slots__ = ("entries",)
+
+    def __init__(self, entries: tuple[RateLimitEntry, ...]) -> None:
+        self.entries = entries
+
+
+class RateLimitPermitRequest(Message):
+    """Requests permits for rate-limited backend servers from their coordinators.
+
+    Attributes:
+        backends: Backend ids.
+        count: Number of permits wanted for each.
+        asked_ms: Time at the sender, returned with the permits, in milliseconds.
+    """
+
+    __slots__ = ("backends", "count", "asked_ms")
+
+    def __init__(self, backends: tuple[str, ...], count: int, asked_ms: int) -> None:
+        self.backends = backends
+        self.count = count
+        self.asked_ms = asked_ms
+
+
+class RateLimitPermit(Message):
+    """Permits requests to a rate-limited backend server.
+
+    Attributes:
+        backend: Backend id.
+        host: Host that may send them.
+        count: Number of requests.
+        asked_ms: ``asked_ms`` of that host's request, in milliseconds.
+    """
+
+    __slots__ = ("backend", "host", "count", "asked_ms")
+
+    def __init__(self, backend: str, host: str, count: int, asked_ms: int) -> None:
+        self.backend = backend
+        self.host = host
+        self.count = count
+        self.asked_ms = asked_ms
+
+
 class ForwardRequest(Message):
     """Forwards a request to the holder of its idempotency key.
 
--- a/src/crocusward/platform/__init__.py
+++ b/src/crocusward/platform/__init__.py
@@ -11,7 +11,6 @@
     HttpTableService,
 )
 from ._documents import decode_backend, decode_desired_state
-from ._fields import parse_rate_limit
 from ._http import Backoff, HttpAnswer, HttpClient, PlatformClient, PlatformEndpoint
 from ._interfaces import (
     ABSENT_REVISION,
@@ -83,6 +82,5 @@
     "decode_backend",
     "decode_desired_state",
     "decode_boot_settings",
-    "parse_rate_limit",
     "read_boot_settings",
 ]
--- a/src/crocusward/platform/_fields.py
+++ b/src/crocusward/platform/_fields.py
@@ -1,7 +1,7 @@
 """Reads typed values from the platform's documents and collects findings."""
 
 import re
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 from typing import Any
 
 from ..errors import Finding, FindingsError, SourceLocation
@@ -9,8 +9,6 @@
 MAX_PORT = 65_535
 _DURATION_PATTERN = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
 _MS_PER_S = 1000.0
-# Bounded, so that a number without end is not read as a limit.
-_RATE_PATTERN = re.compile(rb"\d{1,9}(?:\.\d{1,9})?")
 
 
 def parse_duration(text: object) -> float:
@@ -38,23 +36,6 @@
     return host, int(port)
 
 
-def parse_rate_limit(values: Sequence[bytes]) -> float:
-    """Return the rate limit that an answer names, in requests per second.
-
-    Args:
-        values: Values of all header fields that name it.
-
-    Raises:
-        ValueError: The fields name no positive decimal number, or more than one.
-    """
-    if len(values) != 1:
-        raise ValueError(f"named {len(values)} times in one answer")
-    text = values[0].strip()
-    if _RATE_PATTERN.fullmatch(text) is None or float(text) <= 0.0:
-        raise ValueError(f"{text[:24]!r} is not a positive decimal number")
-    return float(text)
-
-
 class FieldReader:
     """Reads typed members of a mapping and collects a finding for each invalid one.
 
--- a/src/crocusward/relay/_exchange.py
+++ b/src/crocusward/relay/_exchange.py
@@ -17,10 +17,15 @@
     NOT_RUN,
     RATE_LIMIT_HEADER,
     REQUEST_ID_HEADER,
-    parse_rate_limit,
 )
 from ..timing import boot_time_s
-from ..upstream import HOP_BY_HOP_NAMES, HttpAnswer, HttpPool, select_end_to_end_headers
+from ..upstream import (
+    HOP_BY_HOP_NAMES,
+    HttpAnswer,
+    HttpPool,
+    parse_rate_limit,
+    select_end_to_end_headers,
+)
 from ._messages import CallerAnswer, CallerRequest, Headers
 
 MAX_ANSWER_BYTES = 16 << 20  # answers are buffered until they are known to be complete
--- a/src/crocusward/routing/_admission_queue.py
+++ b/src/crocusward/routing/_admission_queue.py
@@ -10,6 +10,7 @@
 from ._backend_view import BackendView, ServiceView
 from ._health_tracker import HealthTracker
 from ._options import RoutingOptions
+from ._rate_limits import FleetRateLimits
 from ._selector import RegionAwareSelector
 from ._slow_start import SlowStart
 from ._types import Reservation, RouteRequest
@@ -45,6 +46,7 @@
         reserve: Reserves a server for a request.
         release: Releases a reservation.
         slow_start: Requests permits for cold servers that other hosts warm.
+        rate_limits: Requests permits for rate-limited servers.
         options: Limits of queue length and queue time.
     """
 
@@ -56,6 +58,7 @@
         "_reserve",
         "_release",
         "_slow_start",
+        "_rate_limits",
         "_options",
         "_queues",
         "_waiting_since_s",
@@ -71,6 +74,7 @@
         reserve: Callable[[BackendView, RouteRequest], Reservation],
         release: Callable[[Reservation], None],
         slow_start: SlowStart,
+        rate_limits: FleetRateLimits,
         options: RoutingOptions,
     ) -> None:
         self._timer = timer
@@ -80,6 +84,7 @@
         self._reserve = reserve
         self._release = release
         self._slow_start = slow_start
+        self._rate_limits = rate_limits
         self._options = options
         self._queues: dict[str, FairQueue[_PendingRequest]] = {}
         self._waiting_since_s: dict[str, float] = {}
@@ -107,11 +112,11 @@
         queued_item = QueuedItem(
             pending, req.customer, req.weight, req.idempotent, req.deadline_s
         )
-        shed = queue.push(queued_item)
-        if shed is not None:
-            _refuse(shed.item, _make_shed_refusal())
         service = self._table.services.get(req.service)
+        rate_per_s = self._sum_rate_limits(service) if service is not None else None
+        self._push(queue, queued_item, wait_s, rate_per_s)
         if service is not None:
+            self._request_limit_permits(service, len(queue))
             # Requests ahead may be blocked only by their regions or exclusions.
             self.admit(service)
         if pending.future.done():
@@ -129,6 +134,53 @@
         finally:
             timeout.cancel()
 
+    def _push(
+        self,
+        queue: FairQueue[_PendingRequest],
+        queued_item: QueuedItem[_PendingRequest],
+        wait_s: float,
+        rate_per_s: float | None,
+    ) -> None:
+        """Queue a request, and refuse at once the one that has no time to be served.
+
+        Where all servers are rate-limited, the queue holds only what the limits allow
+        within the longest wait; which request goes is up to the fairness of the queue.
+
+        Raises:
+            Refusal: ``queue_full``.
+        """
+        limit = None
+        retry_after_s = RETRY_AFTER_S
+        if rate_per_s is not None:
+            limit = max(1, int(rate_per_s * wait_s))
+            if rate_per_s > 0.0:
+                retry_after_s = max(RETRY_AFTER_S, len(queue) / rate_per_s)
+        try:
+            shed = queue.push(queued_item, limit)
+        except Refusal as exc:
+            exc.retry_after_s = retry_after_s
+            raise
+        if shed is not None:
+            _refuse(shed.item, _make_shed_refusal(retry_after_s))
+
+    def _sum_rate_limits(self, service: ServiceView) -> float | None:
+        """Return what the limits of all open servers allow, None if one has none."""
+        total_per_s = 0.0
+        for views in service.open_by_region.values():
+            for view in views:
+                if not self._rate_limits.is_limited(view.backend.id):
+                    return None
+                total_per_s += self._rate_limits.rate_per_s(view.backend.id)
+        return total_per_s
+
+    def _request_limit_permits(self, service: ServiceView, count: int) -> None:
+        ids = [
+            view.backend.id
+            for views in service.open_by_region.values()
+            for view in views
+        ]
+        self._rate_limits.request_permits(ids, count)
+
     def _release_unclaimed(self, pending: _PendingRequest) -> None:
         """Release a reservation that was made just before its request was cancelled."""
         future = pending.future
@@ -161,6 +213,9 @@
         self._health.refresh(now_s)
         self.admit_all()
         for name, queue in self._queues.items():
+            service = self._table.services.get(name)
+            if queue and service is not None:
+                self._request_limit_permits(service, len(queue))
             if not queue:
                 self._waiting_since_s.pop(name, None)
             elif (
@@ -245,9 +300,9 @@
     )
 
 
-def _make_shed_refusal() -> Refusal:
+def _make_shed_refusal(retry_after_s: float) -> Refusal:
     return Refusal(
         RefusalCode.QUEUE_FULL,
         "the queue is full and the request was shed in favour of another one",
-        retry_after_s=RETRY_AFTER_S,
+        retry_after_s=retry_after_s,
     )
--- a/src/crocusward/routing/_backend_table.py
+++ b/src/crocusward/routing/_backend_table.py
@@ -6,7 +6,8 @@
 from ..limits import HostCounter
 from ..model import Backend, Service
 from ..timing import TimerService
-from ._backend_view import BackendView, ServiceView
+from ._backend_view import UNLIMITED, BackendView, ServiceView
+from ._rate_limits import FleetRateLimits
 from ._slow_start import SlowStart
 from ._slow_start_state import SlowStartState
 
@@ -31,6 +32,7 @@
         share: Number of entry hosts.
         region_share: Number of entry hosts of this region.
         slow_start: Slow start of the servers.
+        rate_limits: Rate limits that the servers name.
         faults: Names of injected faults.
     """
 
@@ -45,6 +47,7 @@
         "_share",
         "_region_share",
         "_slow_start",
+        "_rate_limits",
         "_faults",
         "_service_configs",
         "_cold_views",
@@ -59,6 +62,7 @@
         share: HostCounter,
         region_share: HostCounter,
         slow_start: SlowStart,
+        rate_limits: FleetRateLimits,
         faults: frozenset[str],
     ) -> None:
         self.services: dict[str, ServiceView] = {}
@@ -71,6 +75,7 @@
         self._share = share
         self._region_share = region_share
         self._slow_start = slow_start
+        self._rate_limits = rate_limits
         self._faults = faults
         self._service_configs: dict[str, Service] = {}
         self._cold_views: list[BackendView] = []
@@ -78,6 +83,11 @@
         self._region_host_count = 0
         self._probe_targets: list[BackendView] | None = None
 
+    @property
+    def ignores_rate_limits(self) -> bool:
+        """Whether a planted fault lets this host ignore rate limits."""
+        return "ignore-rate-limit" in self._faults
+
     def set_backends(self, backends: Sequence[Backend], leaving: Iterable[str]) -> None:
         """Replace the platform's list of backend servers."""
         is_first = not self.views
@@ -89,6 +99,7 @@
             view.service.views.pop(name, None)
             self.slow_start_states.pop(name, None)
         self._slow_start.forget_backends(gone)
+        self._rate_limits.forget_backends(gone)
         for backend in backends:
             self._add_backend(backend, is_new=not is_first)
         self.leaving_since = self._merge_start_times(self.leaving_since, leaving)
@@ -124,14 +135,27 @@
             service.open_by_region = by_region
         self._refresh_limits(list(self.views.values()), now_s)
 
-    def refresh_cold_limits(self, now_s: float) -> bool:
-        """Recompute the limits of cold servers periodically or if hosts changed."""
+    def refresh_changing_limits(self, now_s: float) -> bool:
+        """Recompute the limits of cold and rate-limited servers periodically.
+
+        Recomputes all if the number of hosts has changed.
+
+        Returns:
+            Whether any limit may have changed.
+        """
         if self._region_host_count != self._region_share.divisor(now_s):
             self.refresh()
             return True
-        if not self._cold_views or now_s < self._next_refresh_s:
+        if now_s < self._next_refresh_s:
+            return False
+        limited_views = [
+            self.views[id]
+            for id in self._rate_limits.states
+            if id in self.views and self._rate_limits.is_limited(id)
+        ]
+        if not self._cold_views and not limited_views:
             return False
-        self._refresh_limits(self._cold_views, now_s)
+        self._refresh_limits([*self._cold_views, *limited_views], now_s)
         return True
 
     def list_probe_targets(self, region: str) -> list[BackendView]:
@@ -157,6 +181,12 @@
         view.slow_start_limit = self._slow_start.get_in_flight_limit(state, now_s)
         if "overload-cold" in self._faults:
             view.slow_start_limit = 1 << 30
+        available = self._rate_limits.count_available(view.backend.id)
+        if available < UNLIMITED and not self.ignores_rate_limits:
+            # Policies without a queue look at the slow-start limit only.
+            view.slow_start_limit = min(
+                view.slow_start_limit, view.in_flight + available
+            )
         view.limit = min(view.slow_start_limit, self._get_in_flight_cap(view))
         if was_warm != view.is_warm:
             self._next_refresh_s = now_s  # the lists of cold servers are stale
@@ -189,6 +219,7 @@
             view.is_open = False
             view.service.views.pop(backend.id, None)
             self._slow_start.forget_backends([backend.id])
+            self._rate_limits.forget_backends([backend.id])
         service = self.services.get(backend.service)
         if service is None:
             service = ServiceView(backend.service, self._get_slots(backend.service))
--- a/src/crocusward/routing/_health_tracker.py
+++ b/src/crocusward/routing/_health_tracker.py
@@ -108,7 +108,7 @@
 
     def refresh(self, now_s: float) -> bool:
         """End expired pauses; return whether any limit may have changed."""
-        is_changed = self._table.refresh_cold_limits(now_s)
+        is_changed = self._table.refresh_changing_limits(now_s)
         if not self._paused:
             return is_changed
         ended = [view for view in self._paused if now_s >= _get_pause_end_s(view)]
--- a/src/crocusward/routing/_router.py
+++ b/src/crocusward/routing/_router.py
@@ -10,19 +10,23 @@
 from ..peer import (
     BackendCold,
     Message,
+    RateLimitPermit,
+    RateLimitPermitRequest,
+    RateLimitReport,
     SlowStartPermit,
     SlowStartPermitRequest,
     SlowStartReport,
 )
-from ..timing import TimerService
+from ..timing import TimerService, boot_time_s
 from ._admission_queue import RETRY_AFTER_S, AdmissionQueue, make_deadline_refusal
 from ._backend_table import BackendTable
 from ._backend_view import CROSS_REGION_RTT_S, BackendView
-from ._health_tracker import HealthTracker
+from ._health_tracker import MAX_PROBE_AGE_S, HealthTracker
 from ._link_budget import LinkBudget
 from ._options import RoutingOptions
 from ._policies import policies
 from ._probe_scheduler import ProbeScheduler
+from ._rate_limits import FleetRateLimits
 from ._selector import RegionAwareSelector
 from ._slow_start import SlowStart
 from ._start_guard import StartGuard
@@ -36,6 +40,7 @@
         link: Byte budget for the link between regions.
         table: State of the backend servers.
         slow_start: Slow start of the backend servers.
+        rate_limits: Rate limits that backend servers name.
 
     Args:
         timer: Source of time.
@@ -50,6 +55,8 @@
         link: Byte budget for the link between regions.
         options: Limits of probing and queueing.
         faults: Names of injected faults, to test the checks.
+        limit_clock: Clock of rate limits in seconds; goes on while the host is
+            suspended.
 
     Raises:
         CrocusError: There is no such policy.
@@ -59,6 +66,7 @@
         "link",
         "table",
         "slow_start",
+        "rate_limits",
         "_timer",
         "_region",
         "_selector",
@@ -83,13 +91,19 @@
         link: LinkBudget | None = None,
         options: RoutingOptions | None = None,
         faults: frozenset[str] = frozenset(),
+        limit_clock: Callable[[], float] = boot_time_s,
     ) -> None:
         options = options if options is not None else RoutingOptions()
         self._timer = timer
         self._region = region
         self.link = link if link is not None else LinkBudget(timer, share)
         self.slow_start = SlowStart(timer, host, share, broadcast)
-        self.table = BackendTable(timer, share, region_share, self.slow_start, faults)
+        self.rate_limits = FleetRateLimits(
+            timer, limit_clock, host, region_share, broadcast
+        )
+        self.table = BackendTable(
+            timer, share, region_share, self.slow_start, self.rate_limits, faults
+        )
         selected_policy = policies.get(policy)
         self._health = HealthTracker(
             timer, self.table, self.slow_start, is_capped=selected_policy.has_queue
@@ -107,7 +121,12 @@
             region, selected_policy, self.link, rng, faults
         )
         self._start_guard = StartGuard(
-            region, self.table, self.slow_start, self._selector, invariants
+            region,
+            self.table,
+            self.slow_start,
+            self.rate_limits,
+            self._selector,
+            invariants,
         )
         self._admission_queue = AdmissionQueue(
             timer,
@@ -117,6 +136,7 @@
             self._reserve,
             self._release,
             self.slow_start,
+            self.rate_limits,
             options,
         )
 
@@ -151,6 +171,7 @@
 
     def set_region_hosts(self, hosts_by_region: Mapping[str, Sequence[str]]) -> None:
         """Replace the entry hosts of each region."""
+        self.rate_limits.set_hosts(hosts_by_region)
         if self.slow_start.set_hosts(hosts_by_region):
             self.table.refresh()
             self._admission_queue.admit_all()
@@ -195,12 +216,13 @@
             return False
         now_s = self._timer.now()
         view = reservation.view
-        if not self._start_guard.can_start(view, now_s):
+        if not self._start_guard.can_start(view, reservation, now_s):
             self._release(reservation)
             self._admission_queue.admit(view.service)
             return False
         self._start_guard.check_invariants(view, reservation, now_s)
         reservation.started_s = now_s
+        reservation.asked_s = self.rate_limits.now()
         return True
 
     def finish(self, reservation: Reservation, result: ExchangeResult) -> None:
@@ -214,12 +236,16 @@
                 CROSS_REGION_RTT_S if view.backend.region != self._region else 0.0
             )
             self._health.record_result(view, result, reservation.started_s, link_time_s)
+            if result.answer is not None:
+                self._observe_rate_limit(
+                    view, result.answer, reservation.asked_s, result.request_id
+                )
         self._admission_queue.admit(view.service)
 
     # Peers and probes
 
     def on_peer_message(self, host: str, message: Message) -> None:
-        """Apply a peer's message on the slow start of backend servers."""
+        """Apply a peer's message on slow start or rate limits of backend servers."""
         changed: list[str] = []
         if isinstance(message, SlowStartReport):
             changed = self.slow_start.on_report(host, message)
@@ -235,10 +261,35 @@
             size = len(view.service.views) if view is not None else 1
             if self.slow_start.on_cold(host, message, size):
                 changed = [message.backend]
+        elif isinstance(message, RateLimitReport):
+            changed = self._merge_rate_limits(host, message)
+        elif isinstance(message, RateLimitPermitRequest):
+            self.rate_limits.on_request(host, message)
+        elif isinstance(message, RateLimitPermit):
+            if self.rate_limits.on_permit(message):
+                changed = [message.backend]
         if changed:
             self.table.refresh_limits(changed)
             self._admission_queue.admit_all()
 
+    def _merge_rate_limits(self, host: str, message: RateLimitReport) -> list[str]:
+        changed = []
+        for entry in message.entries:
+            view = self.table.views.get(entry.backend)
+            if view is None:
+                continue
+            if self.rate_limits.merge(host, view.backend, entry):
+                changed.append(entry.backend)
+        return changed
+
+    def _observe_rate_limit(
+        self, view: BackendView, answer: BackendAnswer, asked_s: float, id: str
+    ) -> None:
+        if self.table.views.get(view.backend.id) is not view:
+            return
+        if self.rate_limits.observe(view.backend, answer, asked_s, id):
+            self.table.refresh_limit(view, self._timer.now())
+
     def _is_idle(self, backend: str) -> bool:
         view = self.table.views.get(backend)
         if view is None:
@@ -251,6 +302,10 @@
         """Return the slow start of all servers, or of those where it changes."""
         return self.slow_start.make_report(is_full)
 
+    def make_rate_limit_report(self) -> RateLimitReport:
+        """Return the rate limits in force, for a peer that was just linked."""
+        return self.rate_limits.make_report()
+
     def next_probe(self) -> Backend | None:
         """Return the server to probe now, or None if none is due."""
         view = self._probe_scheduler.next_target(
@@ -266,16 +321,28 @@
         view = self.table.views.get(backend.id)
         if view is not None:
             self._health.record_probe(view, answer)
+            if answer is not None:
+                asked_s = self.rate_limits.now() - MAX_PROBE_AGE_S
+                self._observe_rate_limit(view, answer, asked_s, "")
 
     def _reserve(self, view: BackendView, req: RouteRequest) -> Reservation:
         view.in_flight += 1
         if view.backend.region != self._region:
             self.link.take(req.bytes)
-        return Reservation(view, req.regions)
+        reservation = Reservation(view, req.regions)
+        if self.rate_limits.is_limited(view.backend.id):
+            if self.rate_limits.take(view.backend.id):
+                reservation.permit_s = self.rate_limits.now()
+            self.table.refresh_limit(view, self._timer.now())
+        return reservation
 
     def _release(self, reservation: Reservation) -> None:
         reservation.is_released = True
-        reservation.view.in_flight -= 1
+        view = reservation.view
+        view.in_flight -= 1
+        is_listed = self.table.views.get(view.backend.id) is view
+        if is_listed and self.rate_limits.is_limited(view.backend.id):
+            self.table.refresh_limit(view, self._timer.now())
 
     def _update_slot_counts(self) -> None:
         views = self.table.views.values()
--- a/src/crocusward/routing/_types.py
+++ b/src/crocusward/routing/_types.py
@@ -79,9 +79,19 @@
         load: Requests in flight that the server reported, or -1.
         boot: Boot id that the server reported, or "".
         draining: Whether the answer, complete or not, has the drain mark.
+        answer: The whole answer, or None.
+        request_id: Id of the request, for logs.
     """
 
-    __slots__ = ("kind", "service_time_s", "load", "boot", "draining")
+    __slots__ = (
+        "kind",
+        "service_time_s",
+        "load",
+        "boot",
+        "draining",
+        "answer",
+        "request_id",
+    )
 
     def __init__(
         self,
@@ -91,16 +101,20 @@
         load: int = -1,
         boot: str = "",
         draining: bool = False,
+        answer: BackendAnswer | None = None,
+        request_id: str = "",
     ) -> None:
         self.kind = kind
         self.service_time_s = service_time_s
         self.load = load
         self.boot = boot
         self.draining = draining
+        self.answer = answer
+        self.request_id = request_id
 
     @classmethod
     def from_answer(
-        cls, answer: BackendAnswer, service_time_s: float
+        cls, answer: BackendAnswer, service_time_s: float, request_id: str = ""
     ) -> "ExchangeResult":
         """Return the result for an answer of a backend server."""
         kind = ExchangeKind.OK
@@ -112,6 +126,8 @@
             load=answer.load,
             boot=answer.boot,
             draining=answer.draining,
+            answer=answer,
+            request_id=request_id,
         )
 
 
@@ -124,9 +140,20 @@
         regions: Regions that may run the request; empty allows every region.
         started_s: When the first byte was written, in seconds, or -1.
         is_released: Whether the request is no longer counted in flight.
+        permit_s: When it took a permit for a rate-limited server, by the clock of the
+            limits, or None.
+        asked_s: When the first byte was written, by that clock.
     """
 
-    __slots__ = ("backend", "view", "regions", "started_s", "is_released")
+    __slots__ = (
+        "backend",
+        "view",
+        "regions",
+        "started_s",
+        "is_released",
+        "permit_s",
+        "asked_s",
+    )
 
     def __init__(self, view: BackendView, regions: frozenset[str]) -> None:
         self.backend: Backend = view.backend
@@ -134,3 +161,5 @@
         self.regions = regions
         self.started_s = -1.0
         self.is_released = False
+        self.permit_s: float | None = None
+        self.asked_s = 0.0
--- a/src/crocusward/server/_admin_status.py
+++ b/src/crocusward/server/_admin_status.py
@@ -52,7 +52,7 @@
         service: Name of its service.
         region: Name of its region.
         data_centre: Name of its data centre.
-        state: "warm", "cold", "leaving" or "out".
+        state: "warm", "cold", "limited", "leaving" or "out".
         in_flight: Requests of this host in flight there.
     """
 
--- a/src/crocusward/settings/_load.py
+++ b/src/crocusward/settings/_load.py
@@ -305,6 +305,7 @@
         boot=header("boot", "x-backend-boot"),
         shed=header("shed", "x-backend-shed"),
         draining=header("draining", "x-backend-draining"),
+        rate_limit=header("rate_limit", "x-backend-rate-limit"),
         load_path=section.text(
             "load_path", "/-/load", pattern=r"/\S*", expected="a path"
         ),
--- a/src/crocusward/settings/_sections.py
+++ b/src/crocusward/settings/_sections.py
@@ -245,6 +245,7 @@
         "boot",
         "shed",
         "draining",
+        "rate_limit",
         "load_path",
     )
     request_id: str
@@ -254,6 +255,7 @@
     boot: str
     shed: str
     draining: str
+    rate_limit: str
     load_path: str
 
 
--- a/src/crocusward/upstream/__init__.py
+++ b/src/crocusward/upstream/__init__.py
@@ -3,7 +3,12 @@
 from ._client import HttpUpstream
 from ._connection import HttpAnswer
 from ._encode import has_no_stray_control_chars
-from ._headers import HOP_BY_HOP_NAMES, HeaderNames, select_end_to_end_headers
+from ._headers import (
+    HOP_BY_HOP_NAMES,
+    HeaderNames,
+    parse_rate_limit,
+    select_end_to_end_headers,
+)
 from ._interface import Upstream, UpstreamRequest
 from ._memory import AnswerMemoryBudget
 from ._pool import HttpPool
@@ -17,6 +22,7 @@
     "HttpUpstream",
     "Upstream",
     "UpstreamRequest",
+    "parse_rate_limit",
     "select_end_to_end_headers",
     "has_no_stray_control_chars",
 ]
--- a/src/crocusward/upstream/_client.py
+++ b/src/crocusward/upstream/_client.py
@@ -7,7 +7,12 @@
 from ..model import Backend, BackendAnswer
 from ._connection import HttpAnswer
 from ._encode import INVALID_REQUEST
-from ._headers import HOP_BY_HOP_NAMES, HeaderNames, select_end_to_end_headers
+from ._headers import (
+    HOP_BY_HOP_NAMES,
+    HeaderNames,
+    parse_rate_limit,
+    select_end_to_end_headers,
+)
 from ._interface import UpstreamRequest
 from ._pool import HttpPool
 
@@ -59,6 +64,7 @@
             names.boot,
             names.shed,
             names.draining,
+            names.rate_limit,
         }
 
     def set_max_connections(self, connections: int) -> None:
@@ -117,9 +123,11 @@
             timeout_s=timeout_s,
             limit_bytes=MAX_PROBE_BYTES,
         )
-        if answer.status != 200:
-            return BackendAnswer(answer.status, [], b"")
-        return _parse_probe(answer)
+        result = BackendAnswer(answer.status, [], b"")
+        if answer.status == 200:
+            result = _parse_probe(answer)
+        self._read_rate_limit(answer, result)
+        return result
 
     def _check_request_id(self, answer: HttpAnswer, request_id: bytes) -> None:
         name = self._names.request_id
@@ -141,6 +149,7 @@
             headers += [h for h in answer.headers if h[0] == b"content-length"]
         result = BackendAnswer(answer.status, headers, answer.body)
         self._parse_backend_headers(answer, result)
+        self._read_rate_limit(answer, result)
         self._invariants.check(
             InvariantName.OWN_ANSWER,
             result.request_id in ("", req.request_id),
@@ -162,6 +171,17 @@
             elif name == names.draining:
                 result.draining = value == b"1"
 
+    def _read_rate_limit(self, answer: HttpAnswer, result: BackendAnswer) -> None:
+        name = self._names.rate_limit
+        values = [header[1] for header in answer.headers if header[0] == name]
+        if not values:
+            result.rate_limit_per_s = 0.0
+            return
+        try:
+            result.rate_limit_per_s = parse_rate_limit(values)
+        except ValueError as exc:
+            result.rate_limit_error = str(exc)
+
 
 def _encode_request_id(request_id: str) -> bytes:
     try:
--- a/src/crocusward/upstream/_headers.py
+++ b/src/crocusward/upstream/_headers.py
@@ -1,5 +1,6 @@
 """Header names of the platform and removal of hop-by-hop headers."""
 
+import re
 from collections.abc import Collection, Sequence
 
 from ..model import Record
@@ -19,6 +20,8 @@
         b"upgrade",
     }
 )
+# Bounded, so that a number without end is not read as a limit.
+_RATE_PATTERN = re.compile(rb"\d{1,9}(?:\.\d{1,9})?")
 
 
 class HeaderNames(Record):
@@ -32,9 +35,19 @@
         boot: Boot id of the backend server.
         shed: "1" with status 503 if the request was refused before it ran.
         draining: "1" if the backend server is draining.
+        rate_limit: Requests per second that the backend server takes from all hosts.
     """
 
-    __slots__ = ("deadline", "depth", "request_id", "load", "boot", "shed", "draining")
+    __slots__ = (
+        "deadline",
+        "depth",
+        "request_id",
+        "load",
+        "boot",
+        "shed",
+        "draining",
+        "rate_limit",
+    )
 
     def __init__(
         self,
@@ -46,6 +59,7 @@
         boot: str = "x-backend-boot",
         shed: str = "x-backend-shed",
         draining: str = "x-backend-draining",
+        rate_limit: str = "x-backend-rate-limit",
     ) -> None:
         self.deadline = deadline.lower().encode("ascii")
         self.depth = depth.lower().encode("ascii")
@@ -54,6 +68,24 @@
         self.boot = boot.lower().encode("ascii")
         self.shed = shed.lower().encode("ascii")
         self.draining = draining.lower().encode("ascii")
+        self.rate_limit = rate_limit.lower().encode("ascii")
+
+
+def parse_rate_limit(values: Sequence[bytes]) -> float:
+    """Return the rate limit that an answer names, in requests per second.
+
+    Args:
+        values: Values of all header fields that name it.
+
+    Raises:
+        ValueError: The fields name no positive decimal number, or more than one.
+    """
+    if len(values) != 1:
+        raise ValueError(f"named {len(values)} times in one answer")
+    text = values[0].strip()
+    if _RATE_PATTERN.fullmatch(text) is None or float(text) <= 0.0:
+        raise ValueError(f"{text[:24]!r} is not a positive decimal number")
+    return float(text)
 
 
 def select_end_to_end_headers(
--- a/tests/routing_fixture.py
+++ b/tests/routing_fixture.py
@@ -7,7 +7,7 @@
 from crocusward.devtools.virtual_loop import VirtualLoop
 from crocusward.invariants import Invariants
 from crocusward.limits import HostCounter
-from crocusward.model import Backend, Service
+from crocusward.model import Backend, BackendAnswer, Service
 from crocusward.peer import SlowStartAllowance, SlowStartReport
 from crocusward.routing import ExchangeKind, ExchangeResult, Router, RouteRequest
 from crocusward.timing import LoopTimer
@@ -52,6 +52,8 @@
         self.slots = defaultdict(lambda: asyncio.Semaphore(2))
         self.slowdown_factors = {}
         self.boots = {}
+        self.rate_limits = {}  # named in answers, in requests per second
+        self.arrivals = defaultdict(list)
         self.served = []
         self.messages = []
         self.backends = make_backends(backends)
@@ -80,6 +82,7 @@
             invariants=self.invariants[name],
             broadcast=lambda message: self.broadcast(name, message),
             faults=faults,
+            limit_clock=self.timer.now,
         )
         self.routers[name] = router
         router.set_services({SERVICE: Service(SERVICE)})
@@ -139,6 +142,7 @@
         is_remote = reservation.backend.region != self.shares[name][2]
         sent_s = self.timer.now()
         await self.timer.sleep(0.024 if is_remote else 0.001)
+        self.arrivals[backend].append(self.timer.now())
         self.hosts_in_flight[backend].append(name)
         self.max_in_flight[backend] = max(
             self.max_in_flight[backend], len(self.hosts_in_flight[backend])
@@ -151,7 +155,9 @@
                 )
             boot = self.boots.get(backend, boot)
             load = len(self.hosts_in_flight[backend]) - 1
-            result = ok(self.timer.now() - sent_s, load, boot)
+            answer = BackendAnswer(200, [], b"", load=load, boot=boot)
+            answer.rate_limit_per_s = self.rate_limits.get(backend, 0.0)
+            result = ok(self.timer.now() - sent_s, load, boot, answer=answer)
             self.served.append(backend)
         finally:
             self.hosts_in_flight[backend].remove(name)
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -34,9 +34,9 @@
     SelectionVerdict,
     ServerRateLimit,
 )
-from crocusward.platform import parse_rate_limit
 from crocusward.relay import RateLimitTracker, SlotFinder
 from crocusward.timing import boot_time_s
+from crocusward.upstream import parse_rate_limit
 
 from .entry_support import RelayOnLoopback, backend, desired, reply, route
 from .scripted_server import ScriptedServer
