Play rate-limited backend servers in the soak of the own interface

Cause: make soak played limits with the entry daemon's fleet only. Change: servers of the randomised deployments name limits that change and end; each counts the requests of hosts that it told half a second before. Node takes the clock of limits, so that the soak runs in virtual time.

--- a/src/crocusward/devtools/soak/_backends.py
+++ b/src/crocusward/devtools/soak/_backends.py
@@ -23,6 +23,11 @@
 PROBE_S = 0.006
 CONNECT_S = 0.001
 CROSSED_SHARE = 0.002  # answers that belong to an earlier request
+LIMIT_STABLE_S = 3.0  # from the first answer with a rate limit until it binds
+LIMIT_KNOWN_S = 0.5  # from such an answer to a host until it binds that host
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA = 5
 
 
 class _Work:
@@ -50,6 +55,8 @@
         slowdown: Factor on service times.
         signs: When each host could first learn of the present boot, in seconds;
             a host that is cut off from the one that saw it cannot.
+        rate_limit_per_s: Limit that it names in its answers, 0.0 for none.
+        told_s: When each host got the first answer with that limit, in seconds.
     """
 
     def __init__(
@@ -62,6 +69,9 @@
         self.draining = False
         self.slowdown = 1.0
         self.signs: dict[str, float] = {}
+        self.rate_limit_per_s = 0.0
+        self.told_s: dict[str, float] = {}
+        self._arrivals_s: deque[float] = deque()
         self.falls = 0
         self.probes = 0
         self._oracle = oracle
@@ -111,6 +121,8 @@
 
     def submit(self, work: _Work, written_s: float, host: str) -> None:
         """Receive a request of a host."""
+        if self.rate_limit_per_s and not work.probe:
+            self._check_rate_limit(host)
         if not self.is_up():
             work.answer.set_exception(ExchangeLostError("connection reset"))
             return
@@ -123,6 +135,30 @@
             return
         self._next()
 
+    def set_rate_limit(self, per_s: float) -> None:
+        """Name another rate limit from now on, or none."""
+        self.rate_limit_per_s = per_s
+        self.told_s.clear()
+        self._arrivals_s.clear()
+
+    def _check_rate_limit(self, host: str) -> None:
+        """Count a request of a host that knows the limit."""
+        now_s = self._now()
+        told_s = self.told_s.get(host, now_s)
+        first_s = min(self.told_s.values(), default=now_s)
+        if now_s < told_s + LIMIT_KNOWN_S or now_s < first_s + LIMIT_STABLE_S:
+            return
+        self._arrivals_s.append(now_s)
+        while self._arrivals_s[0] <= now_s - LIMIT_WINDOW_S:
+            self._arrivals_s.popleft()
+        allowed = LIMIT_FACTOR * LIMIT_WINDOW_S * self.rate_limit_per_s + LIMIT_EXTRA
+        if len(self._arrivals_s) > allowed:
+            self._oracle.violate(
+                InvariantName.RATE_LIMIT,
+                f"{self.backend.id} got {len(self._arrivals_s)} in"
+                f" {LIMIT_WINDOW_S:g} s, {allowed:g} allowed",
+            )
+
     def cancel(self, work: _Work) -> None:
         """Drop a request whose connection was closed, unless it already runs."""
         work.cancelled = True
@@ -184,6 +220,7 @@
                 boot=self.boot,
                 shed=shed,
                 draining=self.draining,
+                rate_limit_per_s=self.rate_limit_per_s,
             )
         )
 
@@ -274,6 +311,10 @@
             raise ExchangeLostError("the answer was lost on the way")
         if answer.boot == server.boot:
             server.note_sign(self._in_contact())
+        if answer.rate_limit_per_s and answer.rate_limit_per_s == (
+            server.rate_limit_per_s
+        ):
+            server.told_s.setdefault(self._host, loop.time())
         return answer
 
     def _maybe_cross(self, answer: BackendAnswer) -> BackendAnswer:
--- a/src/crocusward/devtools/soak/_machine.py
+++ b/src/crocusward/devtools/soak/_machine.py
@@ -16,6 +16,7 @@
 OUTAGE_S = st.floats(1.0, 12.0)
 PAUSE_S = st.floats(0.2, 8.0)
 PICK = st.integers(0, 1_000)
+RATE_LIMIT_PER_S = st.sampled_from([0.5, 1.0, 4.0, 12.0])
 SETTLE_S = 12.0
 
 
@@ -194,6 +195,15 @@
             self.world.counts["backend_slow"] += 1
             self._server(pick).slowdown = factor
 
+        @rule(pick=PICK, per_s=RATE_LIMIT_PER_S)
+        def limit_rate(self, pick: int, per_s: float) -> None:
+            self.world.counts["backend_limit"] += 1
+            self._server(pick).set_rate_limit(per_s)
+
+        @rule(pick=PICK)
+        def end_rate_limit(self, pick: int) -> None:
+            self._server(pick).set_rate_limit(0.0)
+
         @rule(pick=PICK)
         def drain(self, pick: int) -> None:
             server = self._server(pick)
--- a/src/crocusward/devtools/soak/_world.py
+++ b/src/crocusward/devtools/soak/_world.py
@@ -361,6 +361,7 @@
                 max_hosts=2 * HOSTS_PER_REGION,
                 utc_s=lambda: int(self.loop.time()),
                 faults=self.faults,
+                limit_clock=self.loop.time,
             ),
         )
         endpoint = Endpoint(self.network, identity, host.gate, timer)
