Send requests for permits to the coordinator alone

With 90 daemons a host with queued requests would send 89 copies 4 times a second, far over the 4 KB/s of docs/CAPACITY.md. Change: the router can send to one peer; requests, permits and the answer that a limit has ended go to the one host that needs them.

--- a/src/crocusward/daemon/_node.py
+++ b/src/crocusward/daemon/_node.py
@@ -95,6 +95,7 @@
             region_share=region_share,
             invariants=invariants,
             broadcast=self._broadcast,
+            send=self._send,
             link=LinkBudget(timer, share, options.link_bits_per_s),
             options=options.routing,
             faults=faults,
--- a/src/crocusward/devtools/capacity/_routing.py
+++ b/src/crocusward/devtools/capacity/_routing.py
@@ -43,6 +43,7 @@
         region_share=region_share,
         invariants=Invariants(),
         broadcast=lambda message: None,
+        send=lambda host, message: None,
     )
     router.set_services({name: Service(name) for name in services})
     router.set_backends(backends, set())
--- a/src/crocusward/devtools/policy_experiment.py
+++ b/src/crocusward/devtools/policy_experiment.py
@@ -147,6 +147,7 @@
             region_share=region_share,
             invariants=Invariants(),
             broadcast=lambda message: self._broadcast(hosts[index], message),
+            send=lambda host, message: None,  # no server here names a rate limit
         )
         router.set_services({SERVICE: Service(SERVICE, slots=SLOTS)})
         router.set_backends([server.backend for server in self.servers], set())
--- a/src/crocusward/peer/_formats.py
+++ b/src/crocusward/peer/_formats.py
@@ -441,14 +441,11 @@
     @staticmethod
     def write(message: RateLimitPermit) -> list[Any]:
         """Return the fields."""
-        return [message.backend, message.host, message.count, message.asked_ms]
+        return [message.backend, message.count, message.asked_ms]
 
     @staticmethod
     def read(fields: FieldReader) -> RateLimitPermit:
         """Build the message from its fields."""
         return RateLimitPermit(
-            fields.text(),
-            fields.text(),
-            fields.integer(1, MAX_PERMITS),
-            fields.integer(0),
+            fields.text(), fields.integer(1, MAX_PERMITS), fields.integer(0)
         )
--- a/src/crocusward/peer/_messages.py
+++ b/src/crocusward/peer/_messages.py
@@ -279,7 +279,7 @@
 
 
 class RateLimitPermitRequest(Message):
-    """Requests permits for rate-limited backend servers from their coordinators.
+    """Requests permits for rate-limited backend servers from their coordinator.
 
     Attributes:
         backends: Backend ids.
@@ -300,16 +300,14 @@
 
     Attributes:
         backend: Backend id.
-        host: Host that may send them.
         count: Number of requests.
-        asked_ms: ``asked_ms`` of that host's request, in milliseconds.
+        asked_ms: ``asked_ms`` of the request for them, in milliseconds.
     """
 
-    __slots__ = ("backend", "host", "count", "asked_ms")
+    __slots__ = ("backend", "count", "asked_ms")
 
-    def __init__(self, backend: str, host: str, count: int, asked_ms: int) -> None:
+    def __init__(self, backend: str, count: int, asked_ms: int) -> None:
         self.backend = backend
-        self.host = host
         self.count = count
         self.asked_ms = asked_ms
 
--- a/src/crocusward/routing/_rate_limits.py
+++ b/src/crocusward/routing/_rate_limits.py
@@ -94,6 +94,7 @@
         host: Name of this host.
         region_share: Number of entry hosts of this region.
         broadcast: Sends a message to all peers.
+        send: Sends a message to one peer.
 
     Attributes:
         states: State of each server that named a limit, by id.
@@ -106,6 +107,7 @@
         "_host",
         "_region_share",
         "_broadcast",
+        "_send",
         "_hosts",
         "_sampler",
         "_is_check_scheduled",
@@ -118,6 +120,7 @@
         host: str,
         region_share: HostCounter,
         broadcast: Callable[[Message], object],
+        send: Callable[[str, Message], object],
     ) -> None:
         self.states: dict[str, RateLimitState] = {}
         self._timer = timer
@@ -125,6 +128,7 @@
         self._host = host
         self._region_share = region_share
         self._broadcast = broadcast
+        self._send = send
         self._hosts: dict[str, list[str]] = {}
         self._sampler = EventSampler(timer.now)
         self._is_check_scheduled = False
@@ -265,7 +269,7 @@
             count: Number of queued requests.
         """
         now_s = self._clock()
-        wanted = []
+        wanted: dict[str, list[str]] = {}
         for id in backend_ids:
             state = self.states.get(id)
             if state is None or not state.limit or self.rate_per_s(id) <= 0.0:
@@ -274,11 +278,11 @@
                 self._add_turn(state, self._host, 1, 0)
             elif now_s - state.requested_s >= PERMIT_REQUEST_PERIOD_S:
                 state.requested_s = now_s
-                wanted.append(id)
-        if wanted:
+                wanted.setdefault(state.coordinator or "", []).append(id)
+        count = min(count, MAX_PERMIT_COUNT)
+        for host, ids in wanted.items():
             asked_ms = int(now_s * MS_PER_S)
-            count = min(count, MAX_PERMIT_COUNT)
-            self._broadcast(RateLimitPermitRequest(tuple(wanted), count, asked_ms))
+            self._send(host, RateLimitPermitRequest(tuple(ids), count, asked_ms))
 
     def on_request(self, host: str, message: RateLimitPermitRequest) -> None:
         """Let a peer wait for permits of the servers that this host coordinates."""
@@ -290,7 +294,7 @@
                 self._add_turn(state, host, message.count, message.asked_ms)
                 self._serve_turns(state)
             else:
-                self._broadcast(RateLimitReport((self._make_entry(state),)))
+                self._send(host, RateLimitReport((self._make_entry(state),)))
 
     def on_permit(self, message: RateLimitPermit) -> bool:
         """Keep permits for this host; return whether there are any.
@@ -301,7 +305,7 @@
         state = self.states.get(message.backend)
         end_s = message.asked_ms / MS_PER_S + PERMIT_LIFETIME_S
         now_s = self._clock()
-        if message.host != self._host or state is None or end_s < now_s:
+        if state is None or end_s < now_s:
             return False
         state.permit_ends_s = [end for end in state.permit_ends_s if end >= now_s]
         state.permit_ends_s += [end_s] * min(message.count, MAX_PERMIT_COUNT)
@@ -357,9 +361,7 @@
             for _ in range(count):
                 state.bucket.count_send("", now_s)
             self._log("permit_issued", state.backend.id, host=host, count=count)
-            self._broadcast(
-                RateLimitPermit(state.backend.id, host, count, turn.asked_ms)
-            )
+            self._send(host, RateLimitPermit(state.backend.id, count, turn.asked_ms))
 
     def _schedule_check(self) -> None:
         if not self._is_check_scheduled:
--- a/src/crocusward/routing/_router.py
+++ b/src/crocusward/routing/_router.py
@@ -52,6 +52,7 @@
         region_share: Number of entry hosts of this region.
         invariants: Receives the checks of the invariants.
         broadcast: Sends a message to all peers.
+        send: Sends a message to one peer.
         link: Byte budget for the link between regions.
         options: Limits of probing and queueing.
         faults: Names of injected faults, to test the checks.
@@ -88,6 +89,7 @@
         region_share: HostCounter,
         invariants: Invariants,
         broadcast: Callable[[Message], object],
+        send: Callable[[str, Message], object],
         link: LinkBudget | None = None,
         options: RoutingOptions | None = None,
         faults: frozenset[str] = frozenset(),
@@ -99,7 +101,7 @@
         self.link = link if link is not None else LinkBudget(timer, share)
         self.slow_start = SlowStart(timer, host, share, broadcast)
         self.rate_limits = FleetRateLimits(
-            timer, limit_clock, host, region_share, broadcast
+            timer, limit_clock, host, region_share, broadcast, send
         )
         self.table = BackendTable(
             timer, share, region_share, self.slow_start, self.rate_limits, faults
--- a/tests/routing_fixture.py
+++ b/tests/routing_fixture.py
@@ -81,6 +81,7 @@
             region_share=region_share,
             invariants=self.invariants[name],
             broadcast=lambda message: self.broadcast(name, message),
+            send=lambda to, message: self.send(name, to, message),
             faults=faults,
             limit_clock=self.timer.now,
         )
@@ -112,12 +113,17 @@
     def broadcast(self, sender, message):
         """Deliver a message to all other connected routers."""
         self.messages.append((sender, message))
-        for name, router in self.routers.items():
-            if name != sender and not {name, sender} & self.disconnected:
-                self.timer.call_later(
-                    self.delay_s,
-                    lambda router=router: router.on_peer_message(sender, message),
-                )
+        for name in self.routers:
+            if name != sender:
+                self.send(sender, name, message)
+
+    def send(self, sender, to, message):
+        """Deliver a message to another router if both are connected."""
+        if to in self.routers and not {to, sender} & self.disconnected:
+            self.timer.call_later(
+                self.delay_s,
+                lambda: self.routers[to].on_peer_message(sender, message),
+            )
 
     def report_all_warm(self, names=None):
         """Report to every router, or those in ``names``, that every server is warm."""
--- a/tests/test_backend_limits.py
+++ b/tests/test_backend_limits.py
@@ -165,8 +165,8 @@
         limits = fleet.routers["h0"].rate_limits
         limits.merge("h1", fleet.backends[0], RateLimitEntry("b0", "", 1.0, 0))
         asked_ms = int(fleet.timer.now() * 1000.0)
-        self.assertTrue(limits.on_permit(RateLimitPermit("b0", "h0", 1, asked_ms)))
-        late = RateLimitPermit("b0", "h0", 1, asked_ms - 1500)
+        self.assertTrue(limits.on_permit(RateLimitPermit("b0", 1, asked_ms)))
+        late = RateLimitPermit("b0", 1, asked_ms - 1500)
         self.assertFalse(limits.on_permit(late))
 
 
@@ -191,7 +191,7 @@
         for message in (
             RateLimitReport((RateLimitEntry("b1", "boot-1", 1.5, 20),)),
             RateLimitPermitRequest(("b1", "b2"), 3, 12_000),
-            RateLimitPermit("b1", "h1", 2, 12_000),
+            RateLimitPermit("b1", 2, 12_000),
         ):
             self.assertEqual(decode(encode(message)).message, message)
 
