Split the formats about backend servers from the other peer formats

Change: code moves only; both modules register their formats as before. Result: tests of codec, peer and limits pass (40).

--- a/src/crocusward/peer/__init__.py
+++ b/src/crocusward/peer/__init__.py
@@ -1,5 +1,6 @@
 """Protocol between entry hosts: messages, authenticated links and the mesh."""
 
+from . import _backend_formats as _backend_formats  # registers its formats
 from ._codec import Frame, decode, encode
 from ._faults import LinkFault, PeerProtocolError
 from ._link import PeerLink
