Give each run of the fault soak a loopback network of its own

Cause: the network 127.7.N follows from the seed alone, so two runs with one seed start their daemons at the same addresses. Change: a run takes the next network that no other run has reserved; a bound port is the reservation.

--- a/src/crocusward/devtools/fault_soak/_world.py
+++ b/src/crocusward/devtools/fault_soak/_world.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+import socket
 import tempfile
 from collections.abc import Iterator
 from pathlib import Path
@@ -25,6 +26,8 @@
     ("POST", "/home/x"),
     ("PUT", "/move/x"),
 ]
+NETWORK_COUNT = 200  # loopback networks of the daemons
+NETWORK_LOCK_PORT = 17999  # bound by the run that uses a network
 START_S = 8.0  # in which all daemons must be ready
 CALM_S = 4.0  # after the faults, before the check that requests are served
 SLOW_S = 0.6
@@ -61,6 +64,7 @@
         self._number = 0
         self._move_service = "alpha"
         self._tasks: list[asyncio.Task[None]] = []
+        self._network_lock: socket.socket | None = None
 
     # Start and stop.
 
@@ -84,9 +88,9 @@
             self._tasks.append(task)
 
     def _make_daemons(self) -> None:
-        base = 2 + self._seed % 200
+        network = self.reserve_network()
         addresses = [
-            f"127.7.{base}.{10 + index}"
+            f"{network}.{10 + index}"
             for index in range(self._per_data_centre * len(self.data_centres))
         ]
         for index, address in enumerate(addresses):
@@ -103,6 +107,29 @@
                 )
             )
 
+    def reserve_network(self) -> str:
+        """Reserve a loopback network that no other run on this machine uses.
+
+        Raises:
+            OSError: All are in use.
+        """
+        for offset in range(NETWORK_COUNT):
+            network = f"127.7.{2 + (self._seed + offset) % NETWORK_COUNT}"
+            lock = socket.socket()
+            try:
+                lock.bind((f"{network}.1", NETWORK_LOCK_PORT))
+            except OSError:
+                lock.close()
+                continue
+            self._network_lock = lock
+            return network
+        raise OSError("all loopback networks of the soak are in use")
+
+    def release_network(self) -> None:
+        """Release the network, once all daemons have ended."""
+        if self._network_lock is not None:
+            self._network_lock.close()
+
     async def _wait_ready(self) -> None:
         async with asyncio.timeout(START_S):
             while not all([await daemon.is_ready() for daemon in self.daemons]):
@@ -123,6 +150,7 @@
         for target in self.targets:
             target.listener.shut()
         self.store.stop()
+        self.release_network()
 
     # What faults use.
 
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -1,12 +1,14 @@
 """The fault soak: a short run, its checks on planted faults, and seeds that failed."""
 
 import asyncio
+import tempfile
 import unittest
+from pathlib import Path
 
 from crocusward.devtools.fault_soak._callers import Asked
 from crocusward.devtools.fault_soak._checks import LimitSpan, Promises, Span
 from crocusward.devtools.fault_soak._targets import Run
-from crocusward.devtools.fault_soak._world import run_soak
+from crocusward.devtools.fault_soak._world import World, run_soak
 
 CI_SEED = 1
 CI_DURATION_S = 4.0
@@ -126,6 +128,17 @@
         self.assert_broken("planned_stop")
 
 
+class NetworkTest(unittest.TestCase):
+    def test_runs_with_one_seed_use_different_networks(self):
+        """Guards against daemons of two runs at once that meet each other."""
+        with tempfile.TemporaryDirectory() as name:
+            worlds = [World(7, 1, 1, Path(name)) for _ in range(2)]
+        networks = {world.reserve_network() for world in worlds}
+        for world in worlds:
+            world.release_network()
+        self.assertEqual(len(networks), 2)
+
+
 class ShortRunTest(unittest.TestCase):
     def play(self, seed, duration_s, first=""):
         world = asyncio.run(
