Let the end of a server's limit reach hosts that know another run

Found by reading: a server that was limited, started again and named no limit could stay limited at a host that sends it nothing. Cause: reports that a limit has ended were ignored if they came from another run of the server, to keep the end of an earlier run from ending a new limit. Change: the age of the knowledge decides, as for all other reports. Result: test_another_run_of_a_server_has_no_limit fails before with the new cases and passes.

--- a/src/crocusward/routing/_rate_limits.py
+++ b/src/crocusward/routing/_rate_limits.py
@@ -38,8 +38,7 @@
             if it was not when it last looked.
         permit_ends_s: When the permits that this host holds expire, in seconds.
         requested_s: When this host last requested permits, in seconds.
-        turns: Hosts that wait for permits, in order, with the number that they want
-            and the time of their last request in seconds and milliseconds.
+        turns: Hosts that wait for permits, in order.
     """
 
     __slots__ = (
@@ -67,7 +66,13 @@
 
 
 class _Turn:
-    """A host that waits for permits of one server."""
+    """Place of a host among those that wait for permits of one server.
+
+    Attributes:
+        count: Number of permits wanted.
+        requested_s: When the host last requested them, in seconds.
+        asked_ms: The same by the clock of that host, in milliseconds.
+    """
 
     __slots__ = ("count", "requested_s", "asked_ms")
 
@@ -184,12 +189,13 @@
 
     def merge(self, host: str, backend: Backend, entry: RateLimitEntry) -> bool:
         """Apply what a peer knew of a server; return whether the limit changed."""
+        known_s = self._clock() - entry.age_ms / MS_PER_S
         state = self.states.get(backend.id)
-        if state is not None and entry.boot != state.boot and not entry.per_s:
-            return False  # the end of the limit of an earlier run
-        state = self._get_state(backend, entry.boot)
+        if state is not None and known_s <= state.limit.known_s:
+            return False
+        if state is None or entry.per_s > NO_LIMIT:
+            state = self._get_state(backend, entry.boot)
         before = state.limit.per_s
-        known_s = self._clock() - entry.age_ms / MS_PER_S
         if not state.limit.merge(entry.per_s, known_s):
             return False
         self._log_change(state, before, source=host)
--- a/tests/test_backend_limits.py
+++ b/tests/test_backend_limits.py
@@ -156,6 +156,13 @@
         entry = RateLimitEntry("b0", "boot-2", 3.0, 0)
         self.assertTrue(limits.merge("h1", backend, entry))
         self.assertEqual(limits.states["b0"].limit.per_s, 3.0)
+        for boot, age_ms, is_limited in (("boot-1", 500, True), ("boot-3", 0, False)):
+            fleet.run(fleet.timer.sleep(0.1))
+            limits.merge("h1", backend, RateLimitEntry("b0", boot, 0.0, age_ms))
+            self.assertEqual(limits.is_limited("b0"), is_limited)
+        fleet.run(fleet.timer.sleep(0.1))
+        limits.merge("h1", backend, RateLimitEntry("b0", "boot-3", 3.0, 0))
+        self.assertTrue(limits.is_limited("b0"))
         fleet.routers["h0"].set_backends([], set())
         self.assertFalse(limits.is_limited("b0"))
 
