Count requests of a neighbour that follow each other without a gap

Cause: hosts count what neighbours send to a server by the rise of their reported requests in flight. Change: each request that ended in a report, of which the report has an observation, adds one to the requests sent. No change of messages. Result: test_requests_that_follow_each_other_at_a_neighbour_are_counted fails before (1 of 3 counted) and passes.

--- a/src/crocusward/placing/_load.py
+++ b/src/crocusward/placing/_load.py
@@ -131,9 +131,22 @@
         if sent_s in self.sent_times_s:
             self.sent_times_s.remove(sent_s)
 
-    def set_neighbour_in_flight(self, host: str, count: int, now_s: float) -> None:
-        """Replace the number of a neighbour's requests in flight."""
+    def set_neighbour_in_flight(
+        self, host: str, count: int, now_s: float, *, ended_count: int = 0
+    ) -> None:
+        """Replace the number of a neighbour's requests in flight.
+
+        Args:
+            host: Name of the neighbour.
+            count: Its requests in flight.
+            now_s: Monotonic time.
+            ended_count: Number of its requests that ended since its last report. As
+                many others may have begun meanwhile, with no change of ``count``.
+        """
         before = self.neighbour_in_flight.get(host, 0)
+        for _ in range(count - before + ended_count):
+            self.has_been_tried = True
+            self._count_send(now_s, host)
         if count == before:
             return
         self._neighbour_total += count - before
@@ -141,9 +154,6 @@
             self.neighbour_in_flight[host] = count
         else:
             self.neighbour_in_flight.pop(host, None)
-        for _ in range(count - before):
-            self.has_been_tried = True
-            self._count_send(now_s, host)
 
     def in_flight(self, now_s: float) -> float:
         """Return the requests in flight: own, of neighbours, and unattributed ones."""
--- a/src/crocusward/placing/_load_table.py
+++ b/src/crocusward/placing/_load_table.py
@@ -1,5 +1,6 @@
 """Table of the loads of all backend servers."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 
 from ..desired import BackendEntry, Directory
@@ -127,16 +128,17 @@
         """Apply a neighbour's report; return services that may have capacity now."""
         now_s = self._now()
         host = report.host
+        ended = Counter(item.backend for item in report.observations)
         services = set()
         for id, count in report.in_flight.items():
             load = self.loads.get(id)
             if load is not None:
-                load.set_neighbour_in_flight(host, count, now_s)
+                load.set_neighbour_in_flight(host, count, now_s, ended_count=ended[id])
                 services.add(load.entry.service)
         if report.is_complete:
             for id, load in self.loads.items():
                 if host in load.neighbour_in_flight and id not in report.in_flight:
-                    load.set_neighbour_in_flight(host, 0, now_s)
+                    load.set_neighbour_in_flight(host, 0, now_s, ended_count=ended[id])
                     services.add(load.entry.service)
         for observation in report.observations:
             load = self.loads.get(observation.backend)
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -298,6 +298,27 @@
         fixture.now_s += 1.01
         self.assertIs(fixture.choose(can_wait=False).load, load)
 
+    def test_requests_that_follow_each_other_at_a_neighbour_are_counted(self):
+        """Guards against a cold server overloaded by requests in turn at each host."""
+        fixture = SelectorFixture(backend("b1"))
+        load = fixture.load_table.loads["b1"]
+        ended = BackendObservation("b1", ObservationKind.ANSWERED)
+        counts = [(1, []), (1, [ended]), (1, [ended]), (0, [ended])]
+        for seq, (count, observations) in enumerate(counts):
+            report = HostReport(
+                "h2",
+                1,
+                "east-a",
+                seq,
+                store_age_s=0.0,
+                versions={},
+                in_flight={"b1": count},
+                observations=observations,
+            )
+            fixture.load_table.apply_report(report)
+        self.assertEqual(load.sends_in_last_second(fixture.now_s), 3)
+        self.assertEqual(load.in_flight(fixture.now_s), 0.0)
+
     def test_cold_rate_factor_raises_the_rate(self):
         """Guards against cold servers that get less than the operators allow."""
         fixture = SelectorFixture(backend("b1", cold_left_s=3.0, slots=50))
