--- a/src/crocusward/placing/_selection.py
+++ b/src/crocusward/placing/_selection.py
@@ -124,6 +124,8 @@
         needs_permit: Whether the coordinator must issue a permit for the server first.
         permit_end_s: When the permit of another host expires, by the clock of rate
             limits, or None.
+        granted_by: IP address of the host that reserved the slot or issued the permit,
+            "" if this host decided alone.
         limited_count: Number of usable servers in this group with a rate limit.
         without_permit_count: Number of those that may get no request now.
         completions_per_s: Requests that this group completes in a second.
@@ -148,6 +150,7 @@
         "begun_s",
         "needs_permit",
         "permit_end_s",
+        "granted_by",
         "limited_count",
         "without_permit_count",
         "completions_per_s",
@@ -178,6 +181,7 @@
         self.begun_s: float | None = None
         self.needs_permit = False
         self.permit_end_s: float | None = None
+        self.granted_by = ""
         self.limited_count = 0
         self.without_permit_count = 0
         self.completions_per_s = 0.0
--- a/src/crocusward/relay/_requests.py
+++ b/src/crocusward/relay/_requests.py
@@ -75,16 +75,24 @@
 
     def log_placed(self, call: Call, selection: Selection) -> None:
         """Log that a request is sent to a server."""
+        load = selection.load
+        assert load is not None
+        now_s = self._now()
+        # Cold servers have an event of their own, which a burst of other requests
+        # does not crowd out.
         self._sampler.log(
-            "request_placed",
+            "request_placed_cold" if load.is_cold(now_s) else "request_placed",
             id=call.selection_req.id,
-            backend=selection.load.entry.id if selection.load else "",
+            backend=load.entry.id,
             in_flight=selection.in_flight,
             expected_s=selection.expected_s,
             pace=selection.slowdown,
             pace_age_s=selection.slowdown_age_s,
             attempt=call.attempts,
             at_limit=selection.without_permit_count,
+            cold_left_s=max(0.0, load.cold_until_s - now_s),
+            sent_1s=load.sends_in_last_second(now_s),
+            granted_by=selection.granted_by,
         )
 
     def log_ejection_change(
--- a/src/crocusward/relay/_slot_finder.py
+++ b/src/crocusward/relay/_slot_finder.py
@@ -295,6 +295,7 @@
             self._notifier.release(slot)
             return False
         selection.load = load
+        selection.granted_by = slot.address
         selection.in_flight = float(slot.in_flight)
         selection.is_slowdown_current = slot.slowdown > 0.0
         selection.slowdown = slot.slowdown or selection.slowdown
