--- a/src/crocusward/devtools/entry_soak/__init__.py
+++ b/src/crocusward/devtools/entry_soak/__init__.py
@@ -1,12 +1,13 @@
 """Randomised runs of many entry daemons in virtual time."""
 
 from ._fleet import LimitedFleet, make_servers, play_faults
-from ._servers import ALLOWED_EXTRA, ALLOWED_FACTOR, WINDOW_S, LimitedServer
+from ._servers import ALLOWED_EXTRA, ALLOWED_FACTOR, WINDOW_S, ColdServer, LimitedServer
 
 __all__ = [
     "ALLOWED_EXTRA",
     "ALLOWED_FACTOR",
     "WINDOW_S",
+    "ColdServer",
     "LimitedFleet",
     "LimitedServer",
     "make_servers",
--- a/src/crocusward/devtools/entry_soak/_fleet.py
+++ b/src/crocusward/devtools/entry_soak/_fleet.py
@@ -1,4 +1,4 @@
-"""Fleets of entry hosts in front of rate-limited servers, with faults."""
+"""Fleets of entry hosts in front of rate-limited or cold servers, with faults."""
 
 import asyncio
 import random
@@ -6,8 +6,15 @@
 
 from ...relay import CallerRequest
 from ..virtual_loop import VirtualLoop
-from ._host import LOOK, ORDER, REGIONS, SimulatedHost, make_entry
-from ._servers import SLOTS, STABILITY_S, WINDOW_S, LimitedServer
+from ._host import BOUNDS, LOOK, ORDER, REGIONS, SimulatedHost, make_entry
+from ._servers import (
+    COLD_RATE_PER_S,
+    SLOTS,
+    STABILITY_S,
+    WINDOW_S,
+    ColdServer,
+    LimitedServer,
+)
 
 STEP_S = 1e-6  # least time between two iterations of the loop
 LOCAL_DELAY_S = 0.0003
@@ -15,6 +22,8 @@
 REMOTE_DELAY_S = 0.012
 ORDER_SHARE = 0.25  # of the requests
 START_S = 2.0  # until all hosts know each other
+LISTING_SPREAD_S = 0.005  # between the hosts that list one change of an entry
+MAX_COLD_REQUESTS = COLD_RATE_PER_S * BOUNDS.cold_rate_factor + BOUNDS.cold_burst
 
 
 class Outcome:
@@ -60,11 +69,38 @@
         self.start_s = self.loop.time()
 
     def entries(self):
+        now_s = self.loop.time()
         return [
-            make_entry(server.id, server.data_centre, SLOTS)
+            make_entry(server.id, server.data_centre, SLOTS, server.cold_left_s(now_s))
             for server in self.servers.values()
+            if server.has_started(now_s)
         ]
 
+    def list_cold_servers(self, lag_s=0.2):
+        """Plan the entries of all servers that start or turn cold.
+
+        Args:
+            lag_s: From the start of a server until the first host lists it.
+        """
+        for server in self.servers.values():
+            if isinstance(server, ColdServer):
+                server.cold_from_s += self.start_s
+                self.loop.call_at(server.cold_from_s + lag_s, self._list, server)
+
+    def _list(self, server):
+        cold_left_s = server.cold_left_s(self.loop.time())
+        entry = make_entry(server.id, server.data_centre, SLOTS, cold_left_s)
+        for host in self.hosts.values():
+            host.timer.call_later(
+                LISTING_SPREAD_S * self.rng.random(),
+                lambda host=host: host.directory.set_backend(entry.id, entry),
+            )
+
+    def take_out(self, data_centre, is_out):
+        """Take a data centre out of service, or back."""
+        for host in self.hosts.values():
+            host.directory.set_data_centre_out(data_centre, is_out)
+
     def start(self, name):
         """Start the daemon of a host, with no memory of an earlier run."""
         self._starts += 1
@@ -195,6 +231,19 @@
         """Return what servers saw of requests beyond their limits."""
         return [text for item in self.servers.values() for text in item.breaches()]
 
+    def cold_breaches(self):
+        """Return what cold servers saw of requests beyond their rate."""
+        counts = {
+            server.id: server.most_while_cold()
+            for server in self.servers.values()
+            if isinstance(server, ColdServer)
+        }
+        return [
+            f"{id} got {count} in one second while cold, {MAX_COLD_REQUESTS:g} allowed"
+            for id, count in counts.items()
+            if count > MAX_COLD_REQUESTS
+        ]
+
     def close(self):
         """End the run."""
         for host in self.hosts.values():
--- a/src/crocusward/devtools/entry_soak/_host.py
+++ b/src/crocusward/devtools/entry_soak/_host.py
@@ -38,7 +38,7 @@
     SlotOffers,
 )
 from ...timing import LoopTimer
-from ._servers import FakeClient
+from ._servers import COLD_RATE_PER_S, COLD_S, FakeClient
 
 REGIONS = {"east-a": "east", "east-b": "east", "west-a": "west"}
 SERVICE = "svc"
@@ -76,7 +76,7 @@
 STATE = DesiredState(
     1,
     [LOOK, ORDER],
-    {SERVICE: ServiceRule(SERVICE, "/health", 100, 3.0, 3.0)},
+    {SERVICE: ServiceRule(SERVICE, "/health", 100, COLD_S, COLD_RATE_PER_S)},
     CallerLimits(4096, 20_000, 3.0, 15.0),
 )
 
@@ -91,9 +91,16 @@
     return found
 
 
-def make_entry(id, data_centre, slots):
+def make_entry(id, data_centre, slots, cold_left_s=0.0):
     """Return the entry of a backend server."""
-    return BackendEntry(id, SERVICE, ("127.0.0.1", 1), data_centre, slots=slots)
+    return BackendEntry(
+        id,
+        SERVICE,
+        ("127.0.0.1", 1),
+        data_centre,
+        slots=slots,
+        cold_left_s=cold_left_s,
+    )
 
 
 class FakeEndpoint:
@@ -178,6 +185,7 @@
         self.selector = BackendSelector(
             self.directory, self.table, times, REGIONS[data_centre], rng
         )
+        self.selector.cold_rate_factor = BOUNDS.cold_rate_factor
         self.slot_finder = SlotFinder(
             self.timer,
             self.directory,
--- a/src/crocusward/devtools/entry_soak/_servers.py
+++ b/src/crocusward/devtools/entry_soak/_servers.py
@@ -1,4 +1,4 @@
-"""Backend servers that name rate limits, and the clients of the hosts that use them."""
+"""Rate-limited and cold backend servers, and the clients of the hosts that use them."""
 
 import asyncio
 
@@ -14,6 +14,10 @@
 WORK_S = 0.2
 SLOTS = 2
 QUEUE = 2
+COLD_S = 3.0  # of a server that has just started
+COLD_RATE_PER_S = 3.0
+COLD_WINDOW_S = 1.0
+COLD_WORK_FACTOR = 2.0
 
 
 class Arrival:
@@ -40,6 +44,12 @@
         self.running = 0
         self.waiting = 0
 
+    def has_started(self, now_s):
+        return True
+
+    def cold_left_s(self, now_s):
+        return 0.0
+
     def limit(self, now_s):
         found = 0.0
         for at_s, per_s in self.schedule:
@@ -80,6 +90,42 @@
         return found
 
 
+class ColdServer(LimitedServer):
+    """A backend server that starts, or turns cold again, at some time.
+
+    Args:
+        id: Id of the server.
+        data_centre: Its data centre.
+        cold_from_s: When it starts or turns cold, in seconds since all hosts are up.
+        is_new: Whether it starts then; otherwise it was warm before.
+    """
+
+    def __init__(self, id, data_centre, cold_from_s, *, is_new=True):
+        super().__init__(id, data_centre)
+        self.cold_from_s = cold_from_s
+        self.is_new = is_new
+
+    def has_started(self, now_s):
+        return not self.is_new or now_s >= self.cold_from_s
+
+    def cold_left_s(self, now_s):
+        if now_s < self.cold_from_s:
+            return 0.0
+        return max(0.0, self.cold_from_s + COLD_S - now_s)
+
+    def most_while_cold(self):
+        """Return the most requests in one second of its cold time."""
+        times = [
+            item.at_s
+            for item in self.arrivals
+            if self.cold_from_s <= item.at_s <= self.cold_from_s + COLD_S
+        ]
+        return max(
+            (sum(end - COLD_WINDOW_S < at <= end for at in times) for end in times),
+            default=0,
+        )
+
+
 class FakeClient:
     """Sends the requests of one host to the servers of the fleet."""
 
@@ -133,8 +179,10 @@
                 await asyncio.sleep(0.01)
             server.waiting -= 1
             server.running += 1
+            is_cold = server.cold_left_s(now_s) > 0.0
+            work_s = WORK_S * (COLD_WORK_FACTOR if is_cold else 1.0)
             try:
-                await asyncio.sleep(WORK_S * (0.7 + 0.6 * fleet.rng.random()))
+                await asyncio.sleep(work_s * (0.7 + 0.6 * fleet.rng.random()))
             finally:
                 server.running -= 1
             end = ExchangeEnd.ANSWERED
@@ -164,7 +212,9 @@
                 observation.running = server.running
                 observation.waiting = server.waiting
                 observation.slowdown = 1.0
-                observation.rate_limit_per_s = server.limit(self._fleet.loop.time())
+                now_s = self._fleet.loop.time()
+                observation.rate_limit_per_s = server.limit(now_s)
+                observation.cold_left_s = server.cold_left_s(now_s)
                 await self._travel(server)
         except TimeoutError:
             return None
