Keep the rate of a cold server by permits of one coordinator

Cause: each host of the owning group decided alone, by its own sends and what neighbours had reported in the last second. Hosts with waiting requests that list a server, or whose window empties, in the same millisecond all see a free budget. Change: a cold time is a limit that ends by the clock. BackendLoad.limit_per_s gives the lower of the named limit and the cold rate, and the permits, queues and refusals of rate limits carry both. The bucket starts empty at each new coordinator and after a change of groups, deducts what was sent just before the server turned cold, and holds at most 0.4 of the additional requests of the bounds. Slots reserved for other groups expire like permits. The outside path that allowed one request for each host is gone.

--- a/src/crocusward/devtools/entry_soak/_host.py
+++ b/src/crocusward/devtools/entry_soak/_host.py
@@ -185,7 +185,7 @@
         self.selector = BackendSelector(
             self.directory, self.table, times, REGIONS[data_centre], rng
         )
-        self.selector.cold_rate_factor = BOUNDS.cold_rate_factor
+        self.table.set_cold_bounds(BOUNDS.cold_rate_factor, BOUNDS.cold_burst)
         self.slot_finder = SlotFinder(
             self.timer,
             self.directory,
--- a/src/crocusward/entryd/_exposition.py
+++ b/src/crocusward/entryd/_exposition.py
@@ -20,6 +20,9 @@
         "desired_state_version": state.version if state else 0,
         "backends": len(process.directory.backends),
         "data_centres_out": len(process.directory.data_centres_out),
+        "backends_cold": sum(
+            load.is_cold(now_s) for load in process.load_table.loads.values()
+        ),
         "backends_rate_limited": sum(
             bool(load.rate_limit) for load in process.load_table.loads.values()
         ),
--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -147,7 +147,7 @@
             facts.region,
             self._rng,
         )
-        self.selector.cold_rate_factor = bounds.cold_rate_factor
+        self.load_table.set_cold_bounds(bounds.cold_rate_factor, bounds.cold_burst)
         self.slot_finder = SlotFinder(
             self.timer,
             self.directory,
@@ -272,13 +272,15 @@
         return {name: item.copy.version for name, item in self.followers.items()}
 
     def _on_change(self, table: str, change: RowChange) -> None:
-        had_state = self.directory.state is not None
+        previous = self.directory.state
         is_first = table == TABLE_BACKENDS and not self.directory.has_backend_list
         apply_row_change(self.directory, table, change, is_first=is_first)
         state = self.directory.state
         if state is not None:
             self.relay.limits = state.limits
-            if not had_state:
+            if state is not previous:
+                self.load_table.refresh_cold_rates()
+            if previous is None:
                 self.load_table.refresh_cold()
                 self.relay.start_gate.open_if_usable()
 
@@ -406,7 +408,9 @@
             return
         self._last_read_facts = facts
         self.facts = facts
-        self.selector.cold_rate_factor = facts.bounds.cold_rate_factor
+        self.load_table.set_cold_bounds(
+            facts.bounds.cold_rate_factor, facts.bounds.cold_burst
+        )
         self.retry_budget.set_bounds(
             facts.bounds.retry_ratio,
             facts.bounds.retry_reserve,
--- a/src/crocusward/entryd/_slot_broker.py
+++ b/src/crocusward/entryd/_slot_broker.py
@@ -94,8 +94,8 @@
     ) -> ReservedSlot | None:
         """Request a slot at a server of a group from one of its hosts.
 
-        A permit counts from its issue, so one that is read late, after this host was
-        suspended for a while, has expired.
+        A permit, or a slot at a limited server, counts from its issue, so one that is
+        read late, after this host was suspended for a while, has expired.
 
         Args:
             req: The request to place.
@@ -164,7 +164,7 @@
             offer.slowdown,
             offer.in_flight,
             offer.retry_after_s,
-            asked_s + offer.waited_s + PERMIT_LIFETIME_S if is_permit else None,
+            asked_s + offer.waited_s + PERMIT_LIFETIME_S,
         )
 
     async def _send_request(
@@ -218,6 +218,7 @@
         if neighbour:
             await self._answer_permit_request(request, neighbour, sender)
             return
+        received_s = self._limit_clock()
         selection = await self._reserve_slot(
             (sender, request.token),
             request.service,
@@ -227,6 +228,7 @@
             request.max_wait_s,
         )
         offer = SlotOffer(request.token, NO_FREE_SLOT)
+        offer.waited_s = self._limit_clock() - received_s
         if selection is not None and selection.load is not None:
             offer.backend = selection.load.entry.id
             offer.slowdown = (
--- a/src/crocusward/placing/_candidates.py
+++ b/src/crocusward/placing/_candidates.py
@@ -54,8 +54,11 @@
         usable_count: Number of servers that may run it, including full ones.
         usable_in_group: Number of usable servers in this group.
         count_idle: Number of usable servers without a request.
-        limited_count: Number of usable servers in this group with a rate limit.
+        limited_count: Number of usable servers in this group with a limited rate, cold
+            ones included.
         without_permit_count: Number of those that may get no request now.
+        cold_count: Number of usable servers in this group that are cold.
+        warm_in_s: Time until the first of those is warm, in seconds.
         completions_per_service_time: Requests that this group completes in one
             service time.
         candidates: Servers with a free slot, in the end by rising score.
@@ -71,6 +74,8 @@
         "count_idle",
         "limited_count",
         "without_permit_count",
+        "cold_count",
+        "warm_in_s",
         "completions_per_service_time",
         "candidates",
     )
@@ -85,6 +90,8 @@
         self.count_idle = 0
         self.limited_count = 0
         self.without_permit_count = 0
+        self.cold_count = 0
+        self.warm_in_s = math.inf
         self.completions_per_service_time = 0.0
         self.candidates: list[Candidate] = []
 
@@ -112,7 +119,11 @@
         self.count_idle += in_flight < 1.0 and has_permit
         if is_own_group:
             self.usable_in_group += 1
-            cold_factor = COLD_FACTOR if load.is_cold(now_s) else 1.0
+            cold_factor = 1.0
+            if load.is_cold(now_s):
+                cold_factor = COLD_FACTOR
+                self.cold_count += 1
+                self.warm_in_s = min(self.warm_in_s, load.cold_until_s - now_s)
             latency_factor = (
                 self.concurrency_slowdown
                 * cold_factor
--- a/src/crocusward/placing/_load.py
+++ b/src/crocusward/placing/_load.py
@@ -5,7 +5,7 @@
 
 from ..desired import BackendEntry
 from ..neighbours import BackendObservation, ObservationKind
-from ._rate_limit import PermitBucket, ServerRateLimit
+from ._rate_limit import BURST_S, NO_LIMIT, PermitBucket, ServerRateLimit
 
 # The slowdown of shared machines changes many times a second.
 SLOWDOWN_DECAY_S = 0.15
@@ -22,7 +22,8 @@
 BASE_EJECTION_S = 0.7
 MAX_EJECTION_S = 6.0
 COLD_WINDOW_S = 1.0  # over which requests to a cold server are counted
-
+DEFAULT_COLD_RATE_PER_S = 1.0  # until the rate of the service is known
+DEFAULT_COLD_BURST = 1.0  # requests
 
 _REQUEST_OUTCOMES = frozenset({ObservationKind.ANSWERED, ObservationKind.FAILED})
 
@@ -42,8 +43,11 @@
         is_unreachable: Whether the last connection to it failed.
         ejected_until_s: Monotonic time until which it is ejected.
         cold_until_s: Monotonic time until which it is cold.
-        rate_limit: Request rate that it takes from all hosts together.
-        permits: Tokens of that rate, while there is a limit.
+        cold_rate_per_s: Requests per second that it takes from all hosts together while
+            it is cold.
+        cold_burst: Requests that it takes at once while it is cold.
+        rate_limit: Request rate that it named, for all hosts together.
+        permits: Tokens of the rate that holds now, while there is a limit.
         idle_connections: Number of idle connections of this host to it.
         sent_times_s: Monotonic send times of this host's requests in flight.
         probe_missed_s: Monotonic time of this host's last unanswered probe.
@@ -60,6 +64,8 @@
         "is_unreachable",
         "ejected_until_s",
         "cold_until_s",
+        "cold_rate_per_s",
+        "cold_burst",
         "rate_limit",
         "permits",
         "idle_connections",
@@ -90,6 +96,8 @@
         self.is_unreachable = False
         self.ejected_until_s = -1.0
         self.cold_until_s = -1.0
+        self.cold_rate_per_s = DEFAULT_COLD_RATE_PER_S
+        self.cold_burst = DEFAULT_COLD_BURST
         self.rate_limit = ServerRateLimit()
         self.permits = PermitBucket()
         self.idle_connections = 0
@@ -163,7 +171,7 @@
 
     def _count_send(self, now_s: float, host: str = "") -> None:
         self._recent_sends.append(now_s)
-        if self.rate_limit:
+        if self.is_limited(now_s):
             self.permits.count_send(host, now_s)
         while self._recent_sends and now_s - self._recent_sends[0] > COLD_WINDOW_S:
             self._recent_sends.popleft()
@@ -191,7 +199,7 @@
             self._slowdown = observation.slowdown
             self._slowdown_at_s = now_s
         if observation.cold_left_s >= 0.0:
-            self.cold_until_s = now_s + observation.cold_left_s
+            self.set_cold_until(now_s + observation.cold_left_s, now_s)
         kind = observation.kind
         if kind is ObservationKind.ANSWERED:
             self._answered_at_s = now_s
@@ -282,6 +290,42 @@
             return 0.0
         return now_s - self.sent_times_s[0]
 
+    # Request rate.
+
     def is_cold(self, now_s: float) -> bool:
         """Return whether the server is cold, and bears only a low request rate."""
         return now_s < self.cold_until_s
+
+    def set_cold_until(self, until_s: float, now_s: float) -> None:
+        """Set the end of the cold time, in monotonic seconds."""
+        if until_s > now_s and not self.is_limited(now_s):
+            burst = min(self.cold_rate_per_s * BURST_S, self.cold_burst)
+            self.permits.restart(max(0.0, self.sends_in_last_second(now_s) - burst))
+        self.cold_until_s = until_s
+
+    def extend_cold(self, until_s: float, now_s: float) -> None:
+        """Set a later end of the cold time; an earlier one changes nothing."""
+        if until_s > self.cold_until_s:
+            self.set_cold_until(until_s, now_s)
+
+    def limit_per_s(self, now_s: float) -> float:
+        """Return the request rate for all hosts together, or ``NO_LIMIT``."""
+        named = self.rate_limit.per_s
+        if not self.is_cold(now_s):
+            return named
+        return min(named, self.cold_rate_per_s) if named else self.cold_rate_per_s
+
+    def is_limited(self, now_s: float) -> bool:
+        """Return whether all hosts together must keep to a rate now."""
+        return self.limit_per_s(now_s) > NO_LIMIT
+
+    def tokens(self, share: float, now_s: float) -> float:
+        """Return the permits that may be issued now, while there is a limit.
+
+        Args:
+            share: Part of the limit that this part of the group may use.
+            now_s: Monotonic time.
+        """
+        per_s = self.limit_per_s(now_s) * share
+        max_burst = self.cold_burst if self.is_cold(now_s) else math.inf
+        return self.permits.tokens(per_s, now_s, max_burst)
--- a/src/crocusward/placing/_load_table.py
+++ b/src/crocusward/placing/_load_table.py
@@ -8,8 +8,13 @@
 from ._groups import HostGroups
 from ._load import BackendLoad
 from ._permits import PermitIssuer
+from ._rate_limit import PermitBucket
 
 IDLE_SHARE_LIFETIME_S = 2.5  # five of the longest periods of summaries, 0.5 s
+MIN_COLD_RATE_PER_S = 1.0
+# Part of the additional requests of the bounds that permits may use at once. The rest
+# covers requests of hosts that do not know yet that a server is cold.
+COLD_BURST_SHARE = 0.4
 
 
 class BackendLoadTable:
@@ -25,7 +30,7 @@
         loads: Load of each backend server, by id.
         by_service: The same loads, by service.
         groups: Groups of hosts.
-        permits: Permits for rate-limited servers of this group.
+        permits: Permits for limited and cold servers of this group.
     """
 
     __slots__ = (
@@ -38,6 +43,8 @@
         "groups",
         "permits",
         "_by_group",
+        "_cold_rate_factor",
+        "_cold_burst",
     )
 
     def __init__(
@@ -53,6 +60,8 @@
         self.groups = groups
         self.permits = PermitIssuer(groups.host)
         self._by_group: dict[tuple[str, str], list[BackendLoad]] | None = None
+        self._cold_rate_factor = 1.0
+        self._cold_burst = 1.0
         self._directory = directory
         self._now = now
         self._unix_ms = unix_ms
@@ -67,12 +76,16 @@
         if old is None or self._is_new_instance(old, new):
             self._by_group = None
         load = self.loads.get(new.id)
+        is_new = load is None
         if load is None:
             load = BackendLoad(new, self._directory.region_of(new.data_centre))
+            self._set_cold_rate(load)
             self.loads[new.id] = load
             self.by_service.setdefault(new.service, []).append(load)
         load.entry = new
         self._update_cold(load)
+        if is_new and load.is_cold(self._now()):
+            load.permits = PermitBucket(tokens=1.0)  # nobody has sent to it yet
 
     @staticmethod
     def _is_new_instance(old: BackendEntry, new: BackendEntry) -> bool:
@@ -103,7 +116,8 @@
         if entry.started_unix_ms and rule is not None:
             age_s = (self._unix_ms() - entry.started_unix_ms) / 1000.0
             left_s = max(left_s, rule.cold_s - age_s) if age_s >= 0.0 else left_s
-        load.cold_until_s = max(load.cold_until_s, now_s + left_s)
+        if left_s > 0.0:
+            load.extend_cold(now_s + left_s, now_s)
 
     def _on_data_centre_out(self, data_centre: str, is_out: bool) -> None:
         """Treat servers that come back into service as cold for their cold time.
@@ -117,7 +131,30 @@
         for load in self.loads.values():
             rule = state.services.get(load.entry.service)
             if load.entry.data_centre == data_centre and rule is not None:
-                load.cold_until_s = max(load.cold_until_s, now_s + rule.cold_s)
+                load.extend_cold(now_s + rule.cold_s, now_s)
+
+    def set_cold_bounds(self, rate_factor: float, burst: float) -> None:
+        """Set what cold servers take beyond the rates of their services.
+
+        Args:
+            rate_factor: Multiple of the rate of the service.
+            burst: Additional requests in one second.
+        """
+        self._cold_rate_factor = rate_factor
+        self._cold_burst = max(1.0, COLD_BURST_SHARE * burst)
+        self.refresh_cold_rates()
+
+    def refresh_cold_rates(self) -> None:
+        """Apply the cold rates of the services to their servers."""
+        for load in self.loads.values():
+            self._set_cold_rate(load)
+
+    def _set_cold_rate(self, load: BackendLoad) -> None:
+        state = self._directory.state
+        rule = state.services.get(load.entry.service) if state else None
+        rate_per_s = rule.cold_rate * self._cold_rate_factor if rule else 0.0
+        load.cold_rate_per_s = max(MIN_COLD_RATE_PER_S, rate_per_s)
+        load.cold_burst = self._cold_burst
 
     def refresh_cold(self) -> None:
         """Update all cold times, once those of the services are known."""
@@ -148,8 +185,13 @@
         return services
 
     def regroup(self) -> None:
-        """Discard the division of servers into groups, after a change of hosts."""
+        """Discard the division of servers into groups, after a change of hosts.
+
+        Servers may have had another coordinator, which used their limits until now.
+        """
         self._by_group = None
+        for load in self.loads.values():
+            load.permits.empty()
 
     def in_group(self, service: str, group: str) -> list[BackendLoad]:
         """Return the servers of a service that belong to a group.
--- a/src/crocusward/placing/_permits.py
+++ b/src/crocusward/placing/_permits.py
@@ -1,8 +1,9 @@
-"""Permits for requests to rate-limited backend servers, issued by one host of a group.
+"""Permits for requests to limited or cold backend servers, issued by one host.
 
 A limit that each host kept for itself would be exceeded by as many hosts as there are,
 and a fixed share of a low limit is less than one request in ten seconds. So one host of
-the group that owns a server, the coordinator of its service, issues permits for it.
+the group that owns a server, the coordinator of its service, issues permits for it. The
+rate of a cold server is such a limit, which ends by itself.
 """
 
 import hashlib
@@ -93,9 +94,11 @@
 
     def rate_per_s(self, load: BackendLoad, now_s: float) -> float:
         """Return the part of a server's limit that this part of the group may use."""
+        return load.limit_per_s(now_s) * self._share(now_s)
+
+    def _share(self, now_s: float) -> float:
         members = self._refresh(now_s)
-        share = len(members.live) / max(1, members.known_count)
-        return load.rate_limit.per_s * min(1.0, share)
+        return min(1.0, len(members.live) / max(1, members.known_count))
 
     def has_token(self, load: BackendLoad, now_s: float) -> bool:
         """Return whether a server of this group may get one more request now.
@@ -103,9 +106,9 @@
         Exact at the coordinator of its service; other hosts deduct the requests that
         are reported to them.
         """
-        if not load.rate_limit:
+        if not load.is_limited(now_s):
             return True
-        return load.permits.tokens(self.rate_per_s(load, now_s), now_s) >= 1.0
+        return load.tokens(self._share(now_s), now_s) >= 1.0
 
 
 def _weight(service: str, host: str) -> bytes:
--- a/src/crocusward/placing/_queue.py
+++ b/src/crocusward/placing/_queue.py
@@ -1,6 +1,7 @@
 """Queue of requests that wait for a free backend server."""
 
 import asyncio
+import math
 from collections.abc import Iterator
 
 from ._selection import LimitedServers, Selection, SelectionRequest
@@ -72,7 +73,7 @@
         return req.rank(now_s, priority_first=self.is_rate_limited)
 
     def find_hopeless(
-        self, completions_per_s: float, now_s: float
+        self, completions_per_s: float, now_s: float, relief_s: float = math.inf
     ) -> list[tuple[QueuedRequest, float]]:
         """Return the requests that cannot be served in time, with their wait.
 
@@ -82,11 +83,13 @@
         Args:
             completions_per_s: Requests of this queue that complete in a second.
             now_s: Monotonic time.
+            relief_s: Time after which more requests complete; one with that much time
+                left is not hopeless.
         """
         found = []
         ahead = 0.5  # the next completion is due within half a period on average
         for item in self.in_order(now_s):
-            wait_s = ahead / completions_per_s
+            wait_s = min(ahead / completions_per_s, relief_s)
             if now_s + wait_s + item.req.service_time_s > item.req.deadline_s:
                 found.append((item, wait_s))
             else:
--- a/src/crocusward/placing/_rate_limit.py
+++ b/src/crocusward/placing/_rate_limit.py
@@ -1,5 +1,7 @@
 """Rate limit of a backend server, as its answers name it, and its token bucket."""
 
+import math
+
 NO_LIMIT = 0.0
 BURST_S = 0.5  # seconds of the limit that may be sent at once, at least one request
 # Seconds of the limit by which requests without a permit may overdraw the bucket.
@@ -62,31 +64,36 @@
 
 
 class PermitBucket:
-    """Token bucket of the permits for requests to one rate-limited server.
+    """Token bucket of the permits for requests to one server with a limited rate.
 
     It starts empty, so that hosts which take over from each other exceed the limit by
     no more than a burst. Requests that were sent without a permit are deducted as well.
+
+    Args:
+        tokens: Requests that may be sent at once at the start.
     """
 
     __slots__ = ("_tokens", "_updated_s", "_issued")
 
-    def __init__(self) -> None:
-        self._tokens = 0.0
+    def __init__(self, tokens: float = 0.0) -> None:
+        self._tokens = tokens
         self._updated_s: float | None = None
         self._issued: dict[str, list[float]] = {}
 
-    def tokens(self, per_s: float, now_s: float) -> float:
+    def tokens(self, per_s: float, now_s: float, max_burst: float = math.inf) -> float:
         """Return the requests that may be sent now.
 
         Args:
             per_s: Tokens per second since the last call.
             now_s: Monotonic time.
+            max_burst: Requests that may be sent at once, if fewer than ``BURST_S``
+                allows; at least one.
         """
         if self._updated_s is not None:
             self._tokens += per_s * max(0.0, now_s - self._updated_s)
         self._updated_s = now_s
         self._tokens = max(
-            min(self._tokens, max(1.0, per_s * BURST_S)),
+            min(self._tokens, max(1.0, min(per_s * BURST_S, max_burst))),
             -max(1.0, per_s * MAX_DEBT_S),
         )
         return self._tokens
@@ -95,6 +102,15 @@
         """Discard the tokens collected so far."""
         self._tokens = min(0.0, self._tokens)
 
+    def restart(self, debt: float = 0.0) -> None:
+        """Begin a limit; the time without one has brought no tokens.
+
+        Args:
+            debt: Requests sent just before that the limit would not have allowed.
+        """
+        self._tokens = min(0.0, self._tokens) - debt
+        self._updated_s = None
+
     def issue(self, host: str, now_s: float) -> None:
         """Take a token for a request that another host is about to send."""
         self._tokens -= 1.0
--- a/src/crocusward/placing/_scoring.py
+++ b/src/crocusward/placing/_scoring.py
@@ -78,7 +78,8 @@
             and load.group == self._load_table.groups.own
             and not load.is_cold(now_s)
             and (
-                not load.rate_limit or self._permits.is_coordinator(req.service, now_s)
+                not load.is_limited(now_s)
+                or self._permits.is_coordinator(req.service, now_s)
             )
             and load.slowdown_age_s(now_s) > FRESH_SLOWDOWN_S
             and load.can_probe(now_s)
@@ -104,7 +105,9 @@
                 penalty_s += req.service_time_s * OTHER_GROUP_COST_FACTOR
         if not load.idle_connections:
             penalty_s += CONNECT_COST_S
-        if load.rate_limit and not self._permits.is_coordinator(req.service, now_s):
+        if load.is_limited(now_s) and not self._permits.is_coordinator(
+            req.service, now_s
+        ):
             penalty_s += PERMIT_COST_S
         if in_flight >= 1.0:
             # The requests already running there become slower as well.
--- a/src/crocusward/placing/_selection.py
+++ b/src/crocusward/placing/_selection.py
@@ -1,5 +1,6 @@
 """Requests to the backend selector, and its results."""
 
+import math
 from collections.abc import Callable, Collection
 from enum import Enum
 
@@ -31,7 +32,7 @@
 
 
 class LimitedServers(Enum):
-    """Which servers a selection may use, by their rate limits."""
+    """Whether a selection may use servers with a limited rate, cold ones included."""
 
     ALLOWED = "allowed"
     EXCLUDED = "excluded"  # only servers without a limit, for hosts without a permit
@@ -126,8 +127,11 @@
             limits, or None.
         granted_by: IP address of the host that reserved the slot or issued the permit,
             "" if this host decided alone.
-        limited_count: Number of usable servers in this group with a rate limit.
+        limited_count: Number of usable servers in this group with a limited rate, cold
+            ones included.
         without_permit_count: Number of those that may get no request now.
+        cold_count: Number of usable servers in this group that are cold.
+        warm_in_s: Time until the first of those is warm, in seconds.
         completions_per_s: Requests that this group completes in a second.
     """
 
@@ -153,6 +157,8 @@
         "granted_by",
         "limited_count",
         "without_permit_count",
+        "cold_count",
+        "warm_in_s",
         "completions_per_s",
     )
 
@@ -184,6 +190,8 @@
         self.granted_by = ""
         self.limited_count = 0
         self.without_permit_count = 0
+        self.cold_count = 0
+        self.warm_in_s = math.inf
         self.completions_per_s = 0.0
 
     def copy_from(self, other: "Selection") -> None:
--- a/src/crocusward/placing/_selector.py
+++ b/src/crocusward/placing/_selector.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Collection, Sequence
 
-from ..desired import Directory, RouteRule, ServiceRule
+from ..desired import Directory, RouteRule
 from ._candidates import Candidate, CandidateSet
 from ._groups import data_centre_of
 from ._load import SLOWDOWN_DECAY_S, BackendLoad
@@ -41,8 +41,6 @@
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 2.0
 NO_BACKEND_RETRY_AFTER_S = 0.6  # about the time of a first ejection
-# Between requests of another data centre to a cold server.
-OTHER_DATA_CENTRE_COLD_PERIOD_S = 2.0
 
 
 class BackendSelector:
@@ -59,13 +57,9 @@
         service_times: Learned service times and slowdowns.
         region: Region of this host.
         rng: Random source for samples, ties and jitter.
-
-    Attributes:
-        cold_rate_factor: Multiple of its cold rate that a cold server gets.
     """
 
     __slots__ = (
-        "cold_rate_factor",
         "_directory",
         "_load_table",
         "_service_times",
@@ -82,7 +76,6 @@
         region: str,
         rng: random.Random,
     ) -> None:
-        self.cold_rate_factor = 1.0
         self._directory = directory
         self._load_table = load_table
         self._service_times = service_times
@@ -178,13 +171,12 @@
             Refused: No server can answer it in time.
         """
         state = self._directory.state
-        rule = state.services.get(req.service) if state else None
-        if rule is None:
+        if state is None or req.service not in state.services:
             raise Refused(
                 "the service is unknown", MAX_RETRY_AFTER_S, code="no_service"
             )
         candidate_set = self._collect_candidates(
-            req, rule, now_s, own_group_only, avoid, limited
+            req, now_s, own_group_only, avoid, limited
         )
         if not candidate_set.usable_count:
             raise Refused(
@@ -197,7 +189,6 @@
     def _collect_candidates(
         self,
         req: SelectionRequest,
-        rule: ServiceRule,
         now_s: float,
         own_group_only: bool,
         avoid: Collection[str],
@@ -208,8 +199,7 @@
         own_group = self._load_table.groups.own
         own_loads = self._load_table.in_group(req.service, own_group)
         permits = self._load_table.permits
-        if any(load.rate_limit for load in own_loads):
-            permits.take_over(req.service, own_loads, now_s)
+        permits.take_over(req.service, own_loads, now_s)
         allowed = self._filter_allowed(own_loads, req)
         if not own_group_only and not self._has_idle(allowed, req, now_s):
             others = self._load_table.by_service.get(req.service, [])
@@ -227,7 +217,7 @@
             if not is_own_group:
                 in_flight = max(in_flight, self._estimate_in_flight(load, now_s))
             has_permit = True
-            if is_own_group and load.rate_limit:
+            if is_own_group and load.is_limited(now_s):
                 has_permit = permits.has_token(load, now_s)
                 rate_per_s = permits.rate_per_s(load, now_s)
                 candidate_set.add_usable(
@@ -245,8 +235,6 @@
                 candidate_set.add_usable(load, in_flight, is_own_group, now_s)
             if load.group in avoid or in_flight + 1.0 > entry.slots or not has_permit:
                 continue
-            if not self._has_cold_budget(load, rule, now_s):
-                continue
             candidate_set.candidates.append(
                 self._scorer.score(load, req, candidate_set, in_flight, now_s)
             )
@@ -300,12 +288,15 @@
             candidate_set.usable_count
         )
         wait_s = max(MIN_WAIT_S, req.service_time_s / rate * (1.0 + ahead))
+        wait_s = min(wait_s, candidate_set.warm_in_s + req.service_time_s)
         selection = Selection(SelectionVerdict.WAIT, None, wait_s=wait_s)
         selection.candidate_count = len(candidate_set.candidates)
         selection.idle_share = candidate_set.count_idle / candidate_set.usable_count
         selection.usable_in_group = candidate_set.usable_in_group
         selection.limited_count = candidate_set.limited_count
         selection.without_permit_count = candidate_set.without_permit_count
+        selection.cold_count = candidate_set.cold_count
+        selection.warm_in_s = candidate_set.warm_in_s
         selection.completions_per_s = rate / req.service_time_s
         selection.max_wait_s = self._max_wait_s(
             req, candidate_set.concurrency_slowdown, now_s
@@ -332,7 +323,7 @@
                     code="no_time",
                 )
         own_group = self._load_table.groups.own
-        is_limited = bool(best.load.rate_limit) and best.load.group == own_group
+        is_limited = best.load.is_limited(now_s) and best.load.group == own_group
         if best.in_flight >= 1.0 or is_limited:
             if ahead:
                 self._check_deadline(req, wait_s, now_s, candidate_set)
@@ -428,17 +419,6 @@
         ) * load.latency_ratio(now_s)
         return load.silent_for_s(now_s) < suspect_s
 
-    def _has_cold_budget(
-        self, load: BackendLoad, rule: ServiceRule, now_s: float
-    ) -> bool:
-        """Return whether a server is warm, or a cold one may get one more request."""
-        if not load.is_cold(now_s):
-            return True
-        sends = load.sends_in_last_second(now_s)
-        if load.group == self._load_table.groups.own:
-            return sends < max(1, int(rule.cold_rate * self.cold_rate_factor))
-        return sends == 0 and load.own_in_flight == 0
-
     def _max_wait_s(
         self, req: SelectionRequest, concurrency_slowdown: float, now_s: float
     ) -> float:
@@ -468,7 +448,10 @@
         took_s = wait_s + req.service_time_s
         reason = f"an answer would take {took_s:.2f} s of {left_s:.2f} s"
         if candidate_set.without_permit_count:
-            reason += f", {candidate_set.without_permit_count} servers at their limit"
+            reason += (
+                f", {candidate_set.without_permit_count} servers at their limit,"
+                f" {candidate_set.cold_count} cold"
+            )
         raise Refused(
             reason,
             self._add_jitter(wait_s),
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -345,7 +345,8 @@
         def check_before_write() -> None:
             if not self._selector.is_allowed(load, route):
                 raise NotSentError("the server is out of service", code=WITHDRAWN)
-            if load.rate_limit and self._rate_limits.now() > permit_end_s:
+            is_limited = load.is_limited(self._now())
+            if is_limited and self._rate_limits.now() > permit_end_s:
                 raise NotSentError("the permit has expired", code=PERMIT_EXPIRED)
             self._invariants.check(
                 InvariantName.RESIDENCY,
--- a/src/crocusward/relay/_rate_limits.py
+++ b/src/crocusward/relay/_rate_limits.py
@@ -5,7 +5,7 @@
 
 from ..logs import EventSampler, Level
 from ..neighbours import BackendObservation
-from ..placing import NO_LIMIT, BackendLoad, PermitBucket
+from ..placing import NO_LIMIT, BackendLoad
 
 OWN_HOST = ""  # source of a limit that this host learned from the server itself
 
@@ -73,7 +73,7 @@
         self, load: BackendLoad, before: float, host: str, request_id: str
     ) -> None:
         if before == NO_LIMIT:
-            load.permits = PermitBucket()
+            load.permits.restart()
             name = "backend_limit_learned"
         elif load.rate_limit:
             name = "backend_limit_changed"
--- a/src/crocusward/relay/_requests.py
+++ b/src/crocusward/relay/_requests.py
@@ -90,6 +90,7 @@
             pace_age_s=selection.slowdown_age_s,
             attempt=call.attempts,
             at_limit=selection.without_permit_count,
+            cold=selection.cold_count,
             cold_left_s=max(0.0, load.cold_until_s - now_s),
             sent_1s=load.sends_in_last_second(now_s),
             granted_by=selection.granted_by,
--- a/src/crocusward/relay/_reserved_slot.py
+++ b/src/crocusward/relay/_reserved_slot.py
@@ -19,8 +19,8 @@
         slowdown: Slowdown of the server's machine; 1.0 is unloaded, 0.0 unknown.
         in_flight: Other requests in flight at the server.
         retry_after_s: When a slot is expected, if there is none; 0.0 if unknown.
-        expires_s: When a permit for a rate-limited server expires, by the clock of rate
-            limits, or None.
+        expires_s: When it expires for a rate-limited or cold server, by the clock of
+            rate limits, or None.
     """
 
     __slots__ = (
--- a/src/crocusward/relay/_slot_finder.py
+++ b/src/crocusward/relay/_slot_finder.py
@@ -34,7 +34,7 @@
 
     The loads of other groups are not known here. So a request normally leaves its group
     only with a slot that a host of the other group has reserved for it. A rate-limited
-    server gets it only with a permit of the coordinator of the server's service.
+    or cold server gets it only with a permit of the coordinator of its service.
 
     Args:
         timer: Source of time.
@@ -296,6 +296,7 @@
             return False
         selection.load = load
         selection.granted_by = slot.address
+        selection.permit_end_s = slot.expires_s
         selection.in_flight = float(slot.in_flight)
         selection.is_slowdown_current = slot.slowdown > 0.0
         selection.slowdown = slot.slowdown or selection.slowdown
@@ -311,7 +312,6 @@
             return False
         selection.release = None  # the coordinator reserves no slot
         selection.needs_permit = False
-        selection.permit_end_s = permit.expires_s
         return True
 
     async def _use_without_reservation(
@@ -333,7 +333,7 @@
             if not await self._prober.is_alive(load, req.service):
                 return None
         now_s = self._timer.now()
-        if load.is_cold(now_s) or load.rate_limit:
+        if load.is_limited(now_s):
             return None
         if load.in_flight(now_s) >= load.entry.slots:
             return None
@@ -362,6 +362,7 @@
             wait_s=selection.wait_s,
             patience_s=selection.max_wait_s,
             at_limit=selection.without_permit_count,
+            cold=selection.cold_count,
         )
         end_s = min(selection.max_wait_s, req.deadline_s - now_s, limit_s)
         if not selection.usable_in_group:
@@ -431,7 +432,10 @@
             selection.limited_count < selection.usable_in_group
         ):
             return
-        for item, wait_s in queue.find_hopeless(selection.completions_per_s, now_s):
+        hopeless = queue.find_hopeless(
+            selection.completions_per_s, now_s, selection.warm_in_s
+        )
+        for item, wait_s in hopeless:
             queue.discard(item)
             if not item.fut.done():
                 item.fut.set_exception(
