--- a/src/crocusward/devtools/standins/_rows.py
+++ b/src/crocusward/devtools/standins/_rows.py
@@ -1,4 +1,4 @@
-"""Stand-in for the platform's rows: reads, changes since a version, transactions."""
+"""Stand-in for the platform's rows: reads, changes, transactions, restored copies."""
 
 import asyncio
 import base64
@@ -12,17 +12,32 @@
 MAX_HISTORY = 5000
 
 
+class RowsCopy:
+    """A backup of the rows as of one version."""
+
+    __slots__ = ("version", "rows")
+
+    def __init__(
+        self, version: int, rows: dict[tuple[str, str], tuple[bytes, int]]
+    ) -> None:
+        self.version = version
+        self.rows = rows
+
+
 class RowsStandin(StoreStandin):
     """Keeps rows with versions from one counter.
 
     Attributes:
         version: Version of the last transaction.
+        era: Number of the history, which rises with each restored copy; 0 if the store
+            names none.
         refused: IP addresses that get 503, as if they were turned away.
     """
 
     def __init__(self, address: str = "127.0.0.1", port: int = 0) -> None:
         super().__init__(address, port)
         self.version = 0
+        self.era = 0
         self.refused: set[str] = set()
         self._rows: dict[tuple[str, str], tuple[bytes, int]] = {}
         self._history: deque[tuple[str, str, bytes | None, int]] = deque(
@@ -53,6 +68,17 @@
             conn.abort()
         self._waiting.clear()
 
+    def copy(self) -> RowsCopy:
+        """Return a backup of all rows."""
+        return RowsCopy(self.version, dict(self._rows))
+
+    def restore(self, copy: RowsCopy) -> None:
+        """Go back to a backup; the versions since then are given out again."""
+        self.forget_history()
+        self._rows = dict(copy.rows)
+        self.version = self._forgotten = copy.version
+        self.era += 1
+
     def rows(self, table: str) -> dict[str, bytes]:
         """Return the rows of a table."""
         return {key: row[0] for (name, key), row in self._rows.items() if name == table}
@@ -74,7 +100,7 @@
         """Answer a request."""
         peer = conn.transport.get_extra_info("peername") if conn.transport else None
         if peer and peer[0] in self.refused:
-            conn.respond(503)
+            self._refuse(conn, 503)
         elif req.path == "/rows-get":
             self._get(conn, req)
         elif req.path == "/rows-feed":
@@ -82,7 +108,13 @@
         elif req.path == "/rows-tx":
             self._transact(conn, req)
         else:
-            conn.respond(404)
+            self._refuse(conn, 404)
+
+    def _era_header(self) -> bytes:
+        return b"Store-Era: %d\r\n" % self.era if self.era else b""
+
+    def _refuse(self, conn: Connection, status: int) -> None:
+        conn.respond(status, b"{}", self._era_header())
 
     def _get(self, conn: Connection, req: StandinRequest) -> None:
         table = req.argument("table")
@@ -97,8 +129,8 @@
     def _feed(self, conn: Connection, req: StandinRequest) -> None:
         table = req.argument("table")
         after = int(req.argument("after", "0"))
-        if after < self._forgotten:
-            conn.respond(410)
+        if after < self._forgotten or after > self.version:
+            self._refuse(conn, 410)
             return
         rows = self._changes(table, after)
         wait_s = int(req.argument("waitMs", "0")) / 1000.0
@@ -135,7 +167,7 @@
         for row in document["precondition"]:
             found = self._rows.get((row["table"], row["key"]))
             if (found[1] if found else 0) != row["ver"]:
-                conn.respond(412, b"{}")
+                self._refuse(conn, 412)
                 return
         writes: list[tuple[str, str, bytes | None]] = [
             (row["table"], row["key"], base64.b64decode(row["value"]))
@@ -143,10 +175,12 @@
         ]
         writes += [(row["table"], row["key"], None) for row in document["deletes"]]
         self._apply(writes)
-        self.answer_write(conn, 200, json.dumps({"ver": self.version}).encode())
+        body = json.dumps({"ver": self.version}).encode()
+        self.answer_write(conn, 200, body, self._era_header())
 
     def _answer(self, conn: Connection, document: dict[str, Any]) -> None:
-        conn.respond_json({**document, "ver": self.version})
+        body = json.dumps({**document, "ver": self.version}).encode()
+        conn.respond(200, body, self._era_header())
 
 
 def _encode(table: str, key: str, value: bytes | None, version: int) -> dict[str, Any]:
--- a/src/crocusward/devtools/standins/_store.py
+++ b/src/crocusward/devtools/standins/_store.py
@@ -91,13 +91,15 @@
         else:
             self.serve(conn, req)
 
-    def answer_write(self, conn: Connection, status: int, body: bytes = b"") -> None:
+    def answer_write(
+        self, conn: Connection, status: int, body: bytes = b"", headers: bytes = b""
+    ) -> None:
         """Answer a write, or lose the answer."""
         if self.lose_answers > 0:
             self.lose_answers -= 1
             conn.abort()
             return
-        conn.respond(status, body)
+        conn.respond(status, body, headers)
 
 
 @STORE_ACTIONS.register("mode")
