Compare versions of the store within one era only

Cause: copies, reports and the choice of a source compare bare versions. A store that came back from an older copy gives versions out again, so the lost history counts as the newer one: pages are ignored until the counter has passed it, rows with a lower version for good, and 410 led to reads without a pause (1,890 calls in 1.2 s). Change: a position is era and version, ordered by era first, everywhere. A complete page of a later era is a new history: rows from before the copy change nothing, rows written since are taken whatever their version, what this host knows beyond the copy stays in force until it is written again and wins at neighbours that start. A page behind what was read counts as a failure of the store, with its back-off. Hosts register again. Datagrams and pages without an era are those of before.

--- a/src/crocusward/desired/__init__.py
+++ b/src/crocusward/desired/__init__.py
@@ -1,6 +1,7 @@
 """Desired state, backend servers and hosts as an entry host knows them."""
 
 from ._directory import Directory
+from ._position import NO_ERA, NO_POSITION, NO_VERSION, TablePosition
 from ._table_replica import TableReplica
 from ._types import (
     AllowedRegions,
@@ -27,11 +28,15 @@
     "Directory",
     "HostFacts",
     "HostLimits",
+    "NO_ERA",
+    "NO_POSITION",
+    "NO_VERSION",
     "EntryHost",
     "RouteRule",
     "RowChange",
     "ServiceRule",
     "TableReplica",
     "TablePage",
+    "TablePosition",
     "WeightedService",
 ]
--- a/src/crocusward/desired/_directory.py
+++ b/src/crocusward/desired/_directory.py
@@ -99,12 +99,29 @@
         return True
 
     def set_backend(self, id: str, entry: BackendEntry | None) -> None:
-        """Add or replace the entry of a backend server; None removes it."""
+        """Add or replace the entry of a backend server; None removes it.
+
+        An entry that the server wrote before the known one is ignored.
+        """
         old = self.backends.get(id)
         if entry is None:
             if old is None:
                 return
             del self.backends[id]
+        elif (
+            old is not None
+            and entry.started_unix_ms == old.started_unix_ms
+            and entry.seq < old.seq
+        ):
+            log_event(
+                "backend_entry_ignored",
+                Level.WARNING,
+                backend=id,
+                seq=entry.seq,
+                known_seq=old.seq,
+                reason="written before the known entry",
+            )
+            return
         else:
             self.backends[id] = entry
         for observer in self._backend_observers:
--- a/src/crocusward/desired/_table_replica.py
+++ b/src/crocusward/desired/_table_replica.py
@@ -1,10 +1,13 @@
-"""Replica of a platform table whose version never goes back."""
+"""Replica of a platform table that never goes back to an older position."""
 
 from collections.abc import Iterable
 
+from ._past_rows import PastRows
+from ._position import NO_ERA, NO_VERSION, TablePosition
 from ._types import RowChange, TablePage
 
 MAX_TOMBSTONES = 2000  # removals kept for neighbours that are behind
+FIRST_VERSION = 0  # of a kept row that the restored table lacks
 
 
 class TableReplica:
@@ -14,22 +17,33 @@
     older than the replica is ignored, so that a stale read cannot restore a removed
     row.
 
+    A complete page of a later era is a new history. Rows that were written in it are
+    taken, whatever their version. Rows from before the restored copy was taken change
+    nothing: the replica keeps what it has until it is written again.
+
     During an outage of the store, entries may expire although their writers are
-    alive. ``defer_removals`` keeps such rows until a given time; rows that are still
-    missing then are removed.
+    alive, and a restored table lacks rows that were written since the copy.
+    ``defer_removals`` keeps such rows until a given time; rows that are still missing
+    then are removed.
 
     Args:
         name: Name of the table.
 
     Attributes:
         name: Name of the table.
-        version: Version of the replica; -1 before the first complete page.
+        era: Era of the replica.
+        version: Version of the replica; ``NO_VERSION`` before the first complete page.
+        kept_count: Number of rows and removals of the last change of era that the store
+            has lost.
     """
 
     __slots__ = (
         "name",
+        "era",
         "version",
+        "kept_count",
         "_rows",
+        "_past",
         "_tombstones",
         "_deferred",
         "_defer_until_s",
@@ -37,12 +51,20 @@
 
     def __init__(self, name: str) -> None:
         self.name = name
-        self.version = -1
+        self.era = NO_ERA
+        self.version = NO_VERSION
+        self.kept_count = 0
         self._rows: dict[str, RowChange] = {}
+        self._past = PastRows()
         self._tombstones: dict[str, RowChange] = {}
         self._deferred: dict[str, RowChange] = {}
         self._defer_until_s = -1.0
 
+    @property
+    def position(self) -> TablePosition:
+        """Position of the replica."""
+        return TablePosition(self.era, self.version)
+
     def defer_removals(self, until_s: float) -> None:
         """Apply no removal before ``until_s``, in monotonic seconds."""
         self._defer_until_s = max(self._defer_until_s, until_s)
@@ -55,23 +77,42 @@
         """Apply a page and return the effective changes, in order.
 
         A page older than the replica is ignored, as are changes before the first
-        complete page; the list is then empty.
+        complete page of an era; the list is then empty.
         """
-        if page.version < self.version or (page.version < 0):
+        if page.version < 0 or page.position < self.position:
             return []
-        if self.version < 0 and not page.complete:
-            return []
-        accepted = [change for change in page.changes if self._is_newer(change)]
-        if page.complete:
-            present = {change.key for change in page.changes}
-            accepted += [
-                RowChange(key, None, page.version)
-                for key in self._rows
-                if key not in present
-            ]
+        if self.version < 0 or page.era != self.era:
+            if not page.complete:
+                return []
+        if self.version >= 0 and page.era != self.era:
+            accepted = self._enter_era(page)
+        else:
+            accepted = self._find_newer(page)
+        self.era = page.era
         self.version = page.version
         return [change for change in accepted if self._apply_change(change, now_s)]
 
+    def merge(self, page: TablePage, now_s: float) -> list[RowChange]:
+        """Apply newer rows of a neighbour; return the effective changes, in order.
+
+        The position stays as it is: the page may lack changes that this replica has.
+        Pages of another era change nothing.
+        """
+        if self.version < 0 or page.era != self.era:
+            return []
+        present = {change.key for change in page.changes if change.value is not None}
+        accepted = [change for change in page.changes if self._is_newer(change)]
+        changed = []
+        for change in accepted:
+            if change.value is None and change.key not in present:
+                # Not deferred at the neighbour either.
+                if change.key in self._rows:
+                    changed.append(change)
+                self._remove(change)
+            elif self._apply_change(change, now_s):
+                changed.append(change)
+        return changed
+
     def apply_deferred_removals(self, now_s: float) -> list[RowChange]:
         """Apply the deferred removals that are due, and return them."""
         if not self._deferred or now_s < self._defer_until_s:
@@ -82,11 +123,56 @@
             self._remove(change)
         return due
 
+    def _find_newer(self, page: TablePage) -> list[RowChange]:
+        """Return the changes of a page of this era that the replica lacks."""
+        accepted = [change for change in page.changes if self._is_newer(change)]
+        if page.complete:
+            present = {change.key for change in page.changes}
+            accepted += [
+                RowChange(key, None, page.version)
+                for key in self._rows
+                if key not in present
+            ]
+        return accepted
+
     def _is_newer(self, change: RowChange) -> bool:
         known = self._deferred.get(change.key) or self._rows.get(change.key)
         known = known or self._tombstones.get(change.key)
         return known is None or change.version > known.version
 
+    def _enter_era(self, page: TablePage) -> list[RowChange]:
+        """Return the changes that were written in a new era.
+
+        What the replica keeps gets versions of the new era: the version of the page if
+        the store has an older row, so that the row of this replica is the newer one for
+        its neighbours.
+        """
+        copied = self._past.find_copied(page.changes, self._rows)
+        accepted = []
+        self.kept_count = 0
+        tombstones: dict[str, RowChange] = {}
+        for change in page.changes:
+            row = self._rows.get(change.key)
+            if row is not None and row.value == change.value:
+                self._rows[change.key] = change
+            elif change.key not in copied:
+                accepted.append(change)
+            else:
+                self.kept_count += 1
+                self._past.add(change)
+                value = row.value if row is not None else None
+                kept = RowChange(change.key, value, page.version)
+                (tombstones if row is None else self._rows)[change.key] = kept
+        present = {change.key for change in page.changes}
+        for key, row in self._rows.items():
+            if key not in present:
+                self.kept_count += 1
+                self._rows[key] = RowChange(key, row.value, FIRST_VERSION)
+                accepted.append(RowChange(key, None, page.version))
+        self._tombstones = tombstones
+        self._deferred.clear()
+        return accepted
+
     def _apply_change(self, change: RowChange, now_s: float) -> bool:
         if change.value is None:
             if change.key not in self._rows:
@@ -98,11 +184,12 @@
             return True
         self._deferred.pop(change.key, None)
         self._tombstones.pop(change.key, None)
+        self._past.add(self._rows.get(change.key))
         self._rows[change.key] = change
         return True
 
     def _remove(self, change: RowChange) -> None:
-        self._rows.pop(change.key, None)
+        self._past.add(self._rows.pop(change.key, None))
         self._tombstones.pop(change.key, None)
         self._tombstones[change.key] = change
         while len(self._tombstones) > MAX_TOMBSTONES:
@@ -112,15 +199,28 @@
         """Return the current rows."""
         return self._rows.values()
 
-    def get_changes_since(self, version: int) -> TablePage:
-        """Return the changes after ``version``, including deferred removals.
+    def get_changes_since(self, position: TablePosition) -> TablePage:
+        """Return the changes after a position, including deferred removals.
 
-        The page is complete if tombstones may have been dropped.
+        The page is complete if the position is of an earlier era, or if tombstones may
+        have been dropped.
         """
-        if version < 0 or len(self._tombstones) >= MAX_TOMBSTONES:
-            return TablePage(self.version, list(self._rows.values()), complete=True)
+        if (
+            position.version < 0
+            or position.era != self.era
+            or len(self._tombstones) >= MAX_TOMBSTONES
+        ):
+            rows = list(self._rows.values())
+            return TablePage(self.version, rows, complete=True, era=self.era)
+        return self._collect_changes(position.version)
+
+    def get_all_changes(self) -> TablePage:
+        """Return all rows and removals, for the merge of a neighbour."""
+        return self._collect_changes(NO_VERSION)
+
+    def _collect_changes(self, version: int) -> TablePage:
         changes = [row for row in self._rows.values() if row.version > version]
         changes += [row for row in self._tombstones.values() if row.version > version]
         changes += [row for row in self._deferred.values() if row.version > version]
         changes.sort(key=lambda row: row.version)
-        return TablePage(self.version, changes, complete=False)
+        return TablePage(self.version, changes, complete=False, era=self.era)
--- a/src/crocusward/desired/_types.py
+++ b/src/crocusward/desired/_types.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping, Sequence
 
 from ..model import Record
+from ._position import NO_ERA, TablePosition
 
 AllowedRegions = frozenset[str]  # empty allows every region
 
@@ -345,6 +346,7 @@
         leaving: Whether it announced that it is stopping.
         cold_left_s: Remaining cold time that it reported when it wrote the entry.
         started_unix_ms: Unix time of its start in milliseconds, or 0 if unknown.
+        seq: Number of the entry among those that it wrote since its start.
     """
 
     __slots__ = (
@@ -356,6 +358,7 @@
         "leaving",
         "cold_left_s",
         "started_unix_ms",
+        "seq",
     )
 
     def __init__(
@@ -369,6 +372,7 @@
         leaving: bool = False,
         cold_left_s: float = 0.0,
         started_unix_ms: int = 0,
+        seq: int = 0,
     ) -> None:
         self.id = id
         self.service = service
@@ -378,6 +382,7 @@
         self.leaving = leaving
         self.cold_left_s = cold_left_s
         self.started_unix_ms = started_unix_ms
+        self.seq = seq
 
 
 class RowChange(Record):
@@ -386,7 +391,7 @@
     Attributes:
         key: Key of the row.
         value: Content, or None if the row was removed.
-        version: Version of the table as of this change.
+        version: Version of the table as of this change, within the era of the table.
     """
 
     __slots__ = ("key", "value", "version")
@@ -404,13 +409,25 @@
         version: Version of the table; the next read of changes resumes after it.
         changes: Rows in order.
         complete: Whether these are all rows, so that rows not listed are removed.
+        era: Era of the store that the versions belong to.
     """
 
-    __slots__ = ("version", "changes", "complete")
+    __slots__ = ("version", "changes", "complete", "era")
 
     def __init__(
-        self, version: int, changes: Sequence[RowChange], *, complete: bool
+        self,
+        version: int,
+        changes: Sequence[RowChange],
+        *,
+        complete: bool,
+        era: int = NO_ERA,
     ) -> None:
         self.version = version
         self.changes = list(changes)
         self.complete = complete
+        self.era = era
+
+    @property
+    def position(self) -> TablePosition:
+        """Position of the table as of this page."""
+        return TablePosition(self.era, self.version)
--- a/src/crocusward/devtools/entry_soak/_host.py
+++ b/src/crocusward/devtools/entry_soak/_host.py
@@ -15,6 +15,7 @@
     HostLimits,
     RouteRule,
     ServiceRule,
+    TablePosition,
     WeightedService,
 )
 from ...entryd._hub import NeighbourHub
@@ -251,7 +252,7 @@
             self.neighbours,
             NeighbourTable(self.name, ReadTimes(BOUND_S)),
             sampler,
-            lambda: {"servers": 1},
+            lambda: {"servers": TablePosition(version=1)},
             lambda: 0.0,
             lambda: False,
             lambda service: self.relay.dispatch_queued(service),
--- a/src/crocusward/entryd/_exposition.py
+++ b/src/crocusward/entryd/_exposition.py
@@ -31,6 +31,10 @@
         "requests_pending": process.callers.pending,
         "connections": len(process.callers.connections),
         "store_calls": process.store.call_count,
+        "store_era": max(item.copy.era for item in process.followers.values()),
+        "store_rows_kept": sum(
+            item.copy.kept_count for item in process.followers.values()
+        ),
         "invariant_violations": sum(process.invariants.violations.values()),
         "log_lines_dropped": process.dropped_log_lines,
     }
--- a/src/crocusward/entryd/_hub.py
+++ b/src/crocusward/entryd/_hub.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Awaitable, Callable
 
-from ..desired import EntryHost, HostFacts
+from ..desired import NO_POSITION, EntryHost, HostFacts, TablePosition
 from ..logs import EventSampler, log_event
 from ..neighbours import (
     BackendObservation,
@@ -54,7 +54,7 @@
         neighbours: Hosts of this group.
         other_readers: Store readers in other groups of the data centre.
         sampler: Logs sampled events.
-        versions: Returns the version of each table.
+        positions: Returns the position of the copy of each table.
         store_age_s: Returns the age of this host's rows: the time since they were last
             known to be current.
         is_reader: Returns whether this host reads the store.
@@ -86,7 +86,7 @@
         "_book",
         "_neighbours",
         "_endpoint",
-        "_versions",
+        "_positions",
         "_store_age_s",
         "_on_capacity",
         "_on_report",
@@ -113,7 +113,7 @@
         neighbours: NeighbourTable,
         other_readers: NeighbourTable,
         sampler: EventSampler,
-        versions: Callable[[], dict[str, int]],
+        positions: Callable[[], dict[str, TablePosition]],
         store_age_s: Callable[[], float],
         is_reader: Callable[[], bool],
         on_capacity: Callable[[str], None],
@@ -137,7 +137,7 @@
         self._timer = timer
         self._book = book
         self._neighbours = neighbours
-        self._versions = versions
+        self._positions = positions
         self._store_age_s = store_age_s
         self._on_capacity = on_capacity
         self._on_report = on_report
@@ -338,8 +338,11 @@
             self._book.record_idle_shares(summary.group, summary.idle)
         for service in self._book.apply_report(report):
             self._on_capacity(service)
-        own = self._versions()
-        if any(v > own.get(table, -1) for table, v in report.versions.items()):
+        own = self._positions()
+        if any(
+            position > own.get(table, NO_POSITION)
+            for table, position in report.positions.items()
+        ):
             self._on_report()
 
     def _apply_reader_report(self, report: HostReport, sender: str) -> None:
@@ -351,7 +354,7 @@
             self._on_report()
 
     def _report_to_other_groups(self) -> None:
-        """Report the versions of this reader to the first hosts of the other groups."""
+        """Report the positions of this reader to the first hosts of other groups."""
         if not self._is_reader():
             return
         addresses_by_group: dict[str, list[str]] = {}
@@ -443,8 +446,8 @@
             self._is_flush_scheduled = True
             asyncio.get_running_loop().call_soon(self._flush)
 
-    def report_versions(self) -> None:
-        """Report at once the versions of this host's tables."""
+    def report_positions(self) -> None:
+        """Report at once the positions of this host's copies of the tables."""
         self._send_changes()
         self._report_to_other_groups()
 
@@ -490,7 +493,7 @@
             self._facts.data_centre,
             self._seq,
             store_age_s=min(1e6, self._store_age_s()),
-            versions=self._versions(),
+            positions=self._positions(),
             is_leaving=self.is_leaving,
             is_complete=is_complete,
             in_flight=in_flight,
--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -10,7 +10,14 @@
 from pathlib import Path
 from typing import Any
 
-from ..desired import Directory, EntryHost, HostFacts, RowChange
+from ..desired import (
+    NO_ERA,
+    Directory,
+    EntryHost,
+    HostFacts,
+    RowChange,
+    TablePosition,
+)
 from ..errors import ConflictError, CrocusError
 from ..invariants import Invariants, Violation
 from ..logs import EventSampler, Level, LogPipe, log_event
@@ -51,6 +58,7 @@
 TICK_PERIOD_S = 0.1
 SETTINGS_CHECK_PERIOD_S = 1.0  # detects changes of the file without a signal
 REGISTER_PAUSE_S = 1.0
+REGISTER_SPREAD_S = 2.0  # over which all hosts register again at a restored store
 MAX_BACKEND_CONNECTIONS = 16  # per server, each of which runs few requests at a time
 BACKEND_IDLE_TIMEOUT_S = 8.0  # servers that state none close after about 10 s
 BACKEND_CONNECT_TIMEOUT_S = 0.3  # the slowest path has 12 ms of one-way delay
@@ -87,6 +95,7 @@
         self._stop = asyncio.Event()
         self._started_s = self.timer.now()
         self._is_stopping = False
+        self._era = NO_ERA
         self._tasks: list[asyncio.Task[None]] = []
         self.sampler = EventSampler(self.timer.now, MAX_LOG_LINES_PER_S)
         self.invariants = Invariants(self._log_violation)
@@ -123,7 +132,7 @@
             self.neighbours,
             self.other_readers,
             self.sampler,
-            self._versions,
+            self._positions,
             lambda: self.timer.now() - self._compute_current_s(),
             self._is_reader,
             lambda service: self.relay.dispatch_queued(service),
@@ -245,7 +254,7 @@
         Rows taken from a reader in another group are as current as the reader's.
         """
         current_s = self.other_readers.update_current_s(
-            self._versions(), self.timer.now()
+            self._positions(), self.timer.now()
         )
         return max(self._oldest_answer_s(), current_s)
 
@@ -268,8 +277,8 @@
             return False
         return age_s > FIRST_START_MAX_WAIT_S or self.hub.rank == 0
 
-    def _versions(self) -> dict[str, int]:
-        return {name: item.copy.version for name, item in self.followers.items()}
+    def _positions(self) -> dict[str, TablePosition]:
+        return {name: item.copy.position for name, item in self.followers.items()}
 
     def _on_change(self, table: str, change: RowChange) -> None:
         previous = self.directory.state
@@ -285,16 +294,24 @@
                 self.relay.start_gate.open_if_usable()
 
     def _on_version(self) -> None:
+        self._check_era()
         version = self.followers[TABLE_BACKENDS].copy.version
         if version >= 0 and not self.directory.has_backend_list:
             self.directory.has_backend_list = True
             count = len(self.directory.backends)
             log_event("backends_listed", count=count, version=version)
             self.relay.start_gate.open_if_usable()
-        self.hub.report_versions()
+        self.hub.report_positions()
         for service in list(self.load_table.by_service):
             self.relay.dispatch_queued(service)
 
+    def _check_era(self) -> None:
+        """Write again what this host wrote to the store, once the store has lost it."""
+        era = max(item.copy.era for item in self.followers.values())
+        if era > self._era and self._era != NO_ERA:
+            self._start_task(self._register_again())
+        self._era = max(era, self._era)
+
     # Start.
 
     async def run(self) -> None:
@@ -362,6 +379,22 @@
             self.hub.add_hosts([host for host in hosts if host is not None])
             return
 
+    async def _register_again(self) -> None:
+        await self.timer.sleep(REGISTER_SPREAD_S * self._rng.random())
+        facts = self.facts
+        own = EntryHost(facts.name, facts.address, facts.data_centre)
+        while not self._is_stopping:
+            try:
+                await self.store.write_row(
+                    TABLE_HOSTS, facts.name, encode_daemon(own), READ_TIMEOUT_S
+                )
+            except CrocusError as exc:
+                self.sampler.log("register_failed", Level.WARNING, reason=str(exc))
+                await self.timer.sleep(REGISTER_PAUSE_S * (0.5 + self._rng.random()))
+            else:
+                log_event("host_registered_again", era=self._era)
+                return
+
     def _tick(self) -> None:
         for follower in self.followers.values():
             follower.apply_deferred_removals()
@@ -427,7 +460,7 @@
         self._is_stopping = True
         self.relay.stops_at_s = end_s
         self.hub.is_leaving = True
-        self.hub.report_versions()
+        self.hub.report_positions()
         await self.timer.sleep(min(STOP_NOTICE_S, grace_s * 0.5))
         self.callers.drain()
         closing_s = end_s - grace_s * (1.0 - IDLE_CLOSE_SHARE) + STOP_MARGIN_S
--- a/src/crocusward/entryd/_reader.py
+++ b/src/crocusward/entryd/_reader.py
@@ -8,7 +8,7 @@
 
 import cbor2
 
-from ..desired import RowChange, TablePage, TableReplica
+from ..desired import NO_ERA, RowChange, TablePage, TablePosition, TableReplica
 from ..errors import CrocusError, StoreUnavailableError
 from ..logs import EventSampler, Level, log_event
 from ..neighbours import Neighbour, NeighbourTable, ReadTimes
@@ -28,6 +28,7 @@
 COMPRESSION_LEVEL = 1  # the fastest; enough for the repeated names in routes
 MAX_PAGE_BYTES = 8 << 20
 ROWS_PATH = "/neighbours/rows"
+ALL_CHANGES = "all"  # requests all rows and removals
 
 
 class TableFollower:
@@ -43,16 +44,19 @@
         should_read_first: Returns whether this host reads a table without a copy.
         rank: Returns how many hosts of the data centre precede this one.
         on_change: Called with the table name and each changed row.
-        on_version: Called after the version of the copy has changed.
+        on_version: Called after the position of the copy has changed.
 
     Attributes:
         copy: Copy of the table.
         answered_s: Time of the last answer from the store, in monotonic seconds.
+        needs_merge: Whether the copy was read from the store alone. Neighbours may know
+            of changes that the store has lost.
     """
 
     __slots__ = (
         "copy",
         "answered_s",
+        "needs_merge",
         "_timer",
         "_rng",
         "_client",
@@ -84,6 +88,7 @@
     ) -> None:
         self.copy = TableReplica(table)
         self.answered_s = -1e9
+        self.needs_merge = False
         self._timer = timer
         self._rng = rng
         self._client = client
@@ -129,6 +134,7 @@
             return
         if copy.version < 0:
             page = await self._client.read_table(copy.name, READ_TIMEOUT_S)
+            self.needs_merge = copy.version < 0
         else:
             page = await self._read_changes(copy)
         self._record_answer()
@@ -142,13 +148,31 @@
         elif self._has_changed:
             await self._timer.sleep(self._times.batch_pause_s)
             wait_s -= self._times.batch_pause_s
+        after = copy.position
         try:
-            return await self._client.wait_for_changes(
-                copy.name, copy.version, wait_s, wait_s + self._times.answer_margin_s
+            page = await self._client.wait_for_changes(
+                copy.name, after.version, wait_s, wait_s + self._times.answer_margin_s
             )
-        except HistoryLostError:
-            log_event("history_lost", Level.WARNING, table=copy.name)
-            return await self._client.read_table(copy.name, READ_TIMEOUT_S)
+            if page.era <= after.era:
+                return page
+            reason = "the answer is of another era"
+        except HistoryLostError as exc:
+            reason = str(exc)
+        log_event(
+            "history_lost",
+            Level.WARNING,
+            table=copy.name,
+            era=after.era,
+            version=after.version,
+            reason=reason,
+        )
+        page = await self._client.read_table(copy.name, READ_TIMEOUT_S)
+        if page.position < after:
+            raise StoreUnavailableError(
+                f"table {copy.name} is at version {page.version} of era {page.era},"
+                f" {after.version} of {after.era} was read before"
+            )
+        return page
 
     def _record_answer(self) -> None:
         now_s = self._timer.now()
@@ -179,12 +203,72 @@
 
     def apply_page(self, page: TablePage) -> None:
         """Apply a page from the store or from a neighbour."""
-        before = self.copy.version
-        for change in self.copy.apply(page, self._timer.now()):
-            self._on_change(self.copy.name, change)
-        if self.copy.version != before:
+        copy = self.copy
+        before = copy.position
+        is_new_era = before.version >= 0 and page.complete and page.era > before.era
+        if is_new_era:
+            # Entries written since the restored copy are written again soon.
+            copy.defer_removals(self._timer.now() + REMOVAL_HOLD_S)
+        changes = copy.apply(page, self._timer.now())
+        if is_new_era:
+            log_event(
+                "store_era_changed",
+                Level.WARNING,
+                table=copy.name,
+                era=copy.era,
+                previous_era=before.era,
+                version=copy.version,
+                previous_version=before.version,
+                rows=len(page.changes),
+                taken=len(changes),
+                kept=copy.kept_count,
+            )
+        for change in changes:
+            self._on_change(copy.name, change)
+        if copy.position != before:
             self._on_version()
 
+    def should_merge(self, era: int) -> bool:
+        """Return whether to merge all rows of a neighbour whose copy is of an era."""
+        return self.needs_merge and era == self.copy.era
+
+    def pull_query(self, is_merge: bool) -> str:
+        """Return the query for the rows of a neighbour, all or the newer ones."""
+        position = self.copy.position
+        if is_merge:
+            return f"{self.copy.name}&{ALL_CHANGES}"
+        if position.era == NO_ERA:
+            return f"{self.copy.name}&{position.version}"
+        return f"{self.copy.name}&{position.version}&{position.era}"
+
+    def apply_neighbour_page(
+        self, page: TablePage, hold_s: float, is_merge: bool
+    ) -> None:
+        """Apply rows of a neighbour.
+
+        Args:
+            page: The rows.
+            hold_s: For how long the neighbour still defers removals, in seconds.
+            is_merge: Whether the page has all rows of the neighbour.
+        """
+        now_s = self._timer.now()
+        if hold_s > 0.0:
+            self.copy.defer_removals(now_s + hold_s)
+        if not is_merge:
+            self.apply_page(page)
+            return
+        self.needs_merge = False
+        changes = self.copy.merge(page, now_s)
+        log_event(
+            "neighbour_rows_merged",
+            table=self.copy.name,
+            era=page.era,
+            version=page.version,
+            taken=len(changes),
+        )
+        for change in changes:
+            self._on_change(self.copy.name, change)
+
     def apply_deferred_removals(self) -> None:
         """Apply removals whose hold time has passed."""
         for change in self.copy.apply_deferred_removals(self._timer.now()):
@@ -236,9 +320,11 @@
         for table, follower in self._followers.items():
             if table in self._pulls:
                 continue
-            version = follower.copy.version
+            position = follower.copy.position
+            if follower.needs_merge:
+                position = TablePosition(position.era)  # any row of this era helps
             sources = [
-                neighbours.find_source(table, version, now_s)
+                neighbours.find_source(table, position, now_s)
                 for neighbours in self._neighbour_tables
             ]
             source = next((item for item in sources if item is not None), None)
@@ -255,8 +341,8 @@
     async def _pull(
         self, table: str, follower: TableFollower, source: Neighbour
     ) -> None:
-        after = follower.copy.version
-        path = f"{ROWS_PATH}?{table}&{after}"
+        is_merge = follower.should_merge(source.positions[table].era)
+        path = f"{ROWS_PATH}?{follower.pull_query(is_merge)}"
         try:
             response = await self._pool.request(
                 source.address,
@@ -276,19 +362,22 @@
                 reason=str(exc),
             )
             return
-        if hold_s > 0.0:
-            follower.copy.defer_removals(self._timer.now() + hold_s)
-        follower.apply_page(page)
+        follower.apply_neighbour_page(page, hold_s, is_merge)
 
     def encode_rows_after(self, query: str) -> bytes | None:
         """Return the page that a neighbour requests, or None for a bad query."""
         table, _, after = query.partition("&")
         follower = self._followers.get(table)
-        if follower is None or not after.lstrip("-").isdigit():
+        if follower is None or follower.copy.version < 0:
             return None
-        if follower.copy.version < 0:
-            return None
-        page = follower.copy.get_changes_since(int(after))
+        if after == ALL_CHANGES:
+            page = follower.copy.get_all_changes()
+        else:
+            version, _, era = after.partition("&")
+            if not version.lstrip("-").isdigit() or not (era or "0").isdigit():
+                return None
+            position = TablePosition(int(era or NO_ERA), int(version))
+            page = follower.copy.get_changes_since(position)
         return encode_page(page, follower.copy.deferral_left_s(self._timer.now()))
 
 
@@ -299,7 +388,10 @@
     sends it to several neighbours, possibly over a link of a few Mbit/s.
     """
     rows = [[item.key, item.version, item.value] for item in page.changes]
-    data = cbor2.dumps([page.version, page.complete, hold_s, rows])
+    fields: list[object] = [page.version, page.complete, hold_s, rows]
+    if page.era != NO_ERA:
+        fields.append(page.era)
+    data = cbor2.dumps(fields)
     return zlib.compress(data, COMPRESSION_LEVEL)
 
 
@@ -312,9 +404,10 @@
     try:
         decompressor = zlib.decompressobj()
         plain = decompressor.decompress(data, MAX_PAGE_BYTES)
-        version, complete, hold_s, rows = cbor2.loads(plain)
+        version, complete, hold_s, rows, *rest = cbor2.loads(plain)
+        era = int(rest[0]) if rest else NO_ERA
         changes = [RowChange(str(key), value, int(ver)) for key, ver, value in rows]
-        page = TablePage(int(version), changes, complete=bool(complete))
+        page = TablePage(int(version), changes, complete=bool(complete), era=era)
         return page, float(hold_s)
     except (zlib.error, cbor2.CBORError, ValueError, TypeError) as exc:
         raise ValueError(f"malformed page: {type(exc).__name__}") from exc
--- a/src/crocusward/neighbours/_codec.py
+++ b/src/crocusward/neighbours/_codec.py
@@ -4,7 +4,7 @@
 
 import cbor2
 
-from ..desired import EntryHost
+from ..desired import NO_ERA, NO_VERSION, EntryHost, TablePosition
 from ..errors import CrocusError
 from ._messages import (
     BackendObservation,
@@ -104,7 +104,7 @@
         msg.data_centre,
         msg.seq,
         msg.store_age_s,
-        msg.versions,
+        {table: _encode_position(at) for table, at in msg.positions.items()},
         msg.is_leaving,
         msg.is_complete,
         msg.in_flight,
@@ -114,6 +114,13 @@
     ]
 
 
+def _encode_position(position: TablePosition) -> int | list[int]:
+    """Return the version alone for a store that names no era."""
+    if position.era == NO_ERA:
+        return position.version
+    return [position.era, position.version]
+
+
 def decode_message(data: bytes) -> Message:
     """Decode a datagram.
 
@@ -182,7 +189,7 @@
 
 
 def _decode_report(fields: list[Any]) -> HostReport:
-    _, host, incarnation, data_centre, seq, age_s, versions, *rest = fields
+    _, host, incarnation, data_centre, seq, age_s, positions, *rest = fields
     is_leaving, is_complete, in_flight, waiting, observations, idle_summaries = rest
     _check_three_strings([host, data_centre, ""])
     return HostReport(
@@ -191,7 +198,7 @@
         data_centre,
         int(seq),
         store_age_s=float(age_s),
-        versions=_check_counts(versions, minimum=-1),
+        positions={str(k): _decode_position(v) for k, v in positions.items()},
         is_leaving=bool(is_leaving),
         is_complete=bool(is_complete),
         in_flight=_check_counts(in_flight),
@@ -201,6 +208,15 @@
     )
 
 
+def _decode_position(value: Any) -> TablePosition:
+    era, version = value if isinstance(value, list) else (NO_ERA, value)
+    if type(era) is not int or type(version) is not int:
+        raise ValueError("malformed position")
+    if era < NO_ERA or version < NO_VERSION:
+        raise ValueError("malformed position")
+    return TablePosition(era, version)
+
+
 def _decode_idle_summary(item: list[Any]) -> IdleSummary:
     group, idle = item
     _check_three_strings([group, "", ""])
--- a/src/crocusward/neighbours/_messages.py
+++ b/src/crocusward/neighbours/_messages.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping, Sequence
 from enum import IntEnum
 
-from ..desired import EntryHost
+from ..desired import EntryHost, TablePosition
 from ..model import Record
 
 
@@ -98,7 +98,7 @@
         seq: Sequence number of the report within the incarnation.
         store_age_s: Age of the host's rows: the time since they were last known to be
             current, by its own reads of all tables or a reader in another group.
-        versions: Version of the copy of each store table.
+        positions: Position of the copy of each store table.
         is_leaving: Whether the daemon is stopping.
         is_complete: Whether servers missing in ``in_flight`` have no requests.
         in_flight: Requests of this host in flight, by backend server.
@@ -113,7 +113,7 @@
         "data_centre",
         "seq",
         "store_age_s",
-        "versions",
+        "positions",
         "is_leaving",
         "is_complete",
         "in_flight",
@@ -130,7 +130,7 @@
         seq: int,
         *,
         store_age_s: float,
-        versions: Mapping[str, int],
+        positions: Mapping[str, TablePosition],
         is_leaving: bool = False,
         is_complete: bool = False,
         in_flight: Mapping[str, int] | None = None,
@@ -143,7 +143,7 @@
         self.data_centre = data_centre
         self.seq = seq
         self.store_age_s = store_age_s
-        self.versions = dict(versions)
+        self.positions = dict(positions)
         self.is_leaving = is_leaving
         self.is_complete = is_complete
         self.in_flight = dict(in_flight or {})
--- a/src/crocusward/neighbours/_table.py
+++ b/src/crocusward/neighbours/_table.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 
+from ..desired import NO_POSITION, TablePosition
 from ..model import Record
 from ._messages import HostReport
 from ._times import ReadTimes
@@ -25,7 +26,7 @@
         last_report_s: Time of its last report, in monotonic seconds.
         store_answered_s: Time up to which its rows were known to be current, in
             monotonic seconds.
-        versions: Version of its copy of each store table.
+        positions: Position of its copy of each store table.
         is_leaving: Whether it is stopping.
     """
 
@@ -36,7 +37,7 @@
         "seq",
         "last_report_s",
         "store_answered_s",
-        "versions",
+        "positions",
         "is_leaving",
     )
 
@@ -47,7 +48,7 @@
         self.seq = -1
         self.last_report_s = now_s - SILENCE_TIMEOUT_S
         self.store_answered_s = -1e9
-        self.versions: dict[str, int] = {}
+        self.positions: dict[str, TablePosition] = {}
         self.is_leaving = False
 
 
@@ -100,14 +101,14 @@
                 return None
             neighbour.incarnation = report.incarnation
             neighbour.seq = -1
-            neighbour.versions = {}
+            neighbour.positions = {}
         elif report.seq <= neighbour.seq:
             return None
         neighbour.seq = report.seq
         neighbour.last_report_s = now_s
         neighbour.store_answered_s = now_s - report.store_age_s
         neighbour.is_leaving = report.is_leaving
-        neighbour.versions.update(report.versions)
+        neighbour.positions.update(report.positions)
         return neighbour
 
     def list_live(self, now_s: float) -> list[Neighbour]:
@@ -159,25 +160,32 @@
         latest_s = max(n.store_answered_s for n in live)
         return now_s - latest_s >= takeover_age_s + TAKEOVER_STEP_S * len(ahead)
 
-    def update_current_s(self, versions: Mapping[str, int], now_s: float) -> float:
-        """Return the time up to which rows of these versions are known to be current.
+    def update_current_s(
+        self, positions: Mapping[str, TablePosition], now_s: float
+    ) -> float:
+        """Return the time up to which rows of these positions are known to be current.
 
-        Rows are as current as those of a live neighbour without newer versions. Once
-        it reports newer ones, the time of its earlier report remains valid until the
-        rows are fetched; otherwise every host would read the store at each change. The
+        Rows are as current as those of a live neighbour without newer ones. Once it
+        reports newer ones, the time of its earlier report remains valid until the rows
+        are fetched; otherwise every host would read the store at each change. The
         returned time never decreases.
         """
         for neighbour in self.list_live(now_s):
-            if all(versions.get(t, -1) >= v for t, v in neighbour.versions.items()):
+            if all(
+                positions.get(table, NO_POSITION) >= position
+                for table, position in neighbour.positions.items()
+            ):
                 self._current_s = max(self._current_s, neighbour.store_answered_s)
         return self._current_s
 
-    def find_source(self, table: str, version: int, now_s: float) -> Neighbour | None:
-        """Return the neighbour with the newest rows after ``version``, or None."""
+    def find_source(
+        self, table: str, position: TablePosition, now_s: float
+    ) -> Neighbour | None:
+        """Return the neighbour with the newest rows after ``position``, or None."""
         source = None
         for neighbour in self.list_live(now_s):
-            newest = neighbour.versions.get(table, -1)
-            if newest > version:
-                version = newest
+            newest = neighbour.positions.get(table, NO_POSITION)
+            if newest > position:
+                position = newest
                 source = neighbour
         return source
--- a/src/crocusward/platform/_documents.py
+++ b/src/crocusward/platform/_documents.py
@@ -79,7 +79,6 @@
     if state not in _LEAVING_BY_STATE:
         root.add_finding("state", f"unknown state {state!r}")
     root.get_text("version")
-    root.get_integer("seq")
     entry = BackendEntry(
         id,
         root.get_text("service"),
@@ -89,6 +88,7 @@
         leaving=_LEAVING_BY_STATE.get(state, True),
         cold_left_s=root.get_duration("warmupLeft"),
         started_unix_ms=root.get_integer("born", default=0),
+        seq=root.get_integer("seq"),
     )
     root.raise_findings()
     return entry
--- a/src/crocusward/platform/_http.py
+++ b/src/crocusward/platform/_http.py
@@ -34,6 +34,10 @@
     def status(self) -> int:
         """HTTP status."""
 
+    @property
+    def headers(self) -> Sequence[tuple[bytes, bytes]]:
+        """Headers in order, with names in lower case."""
+
     @property
     def body(self) -> bytes:
         """Complete body."""
--- a/src/crocusward/platform/_rows.py
+++ b/src/crocusward/platform/_rows.py
@@ -7,7 +7,7 @@
 from typing import Any
 from urllib.parse import urlencode
 
-from ..desired import RowChange, TablePage
+from ..desired import NO_ERA, RowChange, TablePage
 from ..errors import (
     ConflictError,
     CrocusError,
@@ -17,11 +17,13 @@
     StoreUncertainError,
 )
 from ._http import HttpAnswer, HttpClient
+from ._wire_names import STORE_ERA_HEADER
 
 # The store returns at most 1 MB of rows; base64 adds a third.
 MAX_ROWS_ANSWER_BYTES = 4 << 20
 MAX_PAGE_ROWS = 500  # limit of the store
 MAX_PAGES = 40  # limits a complete read to 20,000 rows
+MAX_ERA_DIGITS = 18  # fits 64 bits
 _JSON_HEADERS = ((b"content-type", b"application/json"),)
 
 
@@ -40,14 +42,16 @@
 
     Attributes:
         call_count: Requests sent so far.
+        era: Latest era that an answer of the store has named.
     """
 
-    __slots__ = ("_client", "_address", "call_count")
+    __slots__ = ("_client", "_address", "call_count", "era")
 
     def __init__(self, client: HttpClient, address: tuple[str, int]) -> None:
         self._client = client
         self._address = address
         self.call_count = 0
+        self.era = NO_ERA
 
     async def read_table(self, table: str, timeout_s: float) -> TablePage:
         """Return all rows of a table.
@@ -56,22 +60,27 @@
         is returned, so that changes made between the pages are read again.
 
         Raises:
-            StoreUnavailableError: No usable answer came in time.
+            StoreUnavailableError: No usable answer came in time, or the store was
+                restored between the pages.
         """
         changes: list[RowChange] = []
         version = -1
+        era: int | None = None
         start = ""
         for _ in range(MAX_PAGES):
             query: dict[str, object] = {"table": table, "part": ""}
             query["limit"] = MAX_PAGE_ROWS
             if start:
                 query["from"] = start
-            document = await self._get("/rows-get", query, timeout_s)
-            page = _decode_page(document, complete=True)
+            document, page_era = await self._get("/rows-get", query, timeout_s)
+            page = _decode_page(document, complete=True, era=page_era)
+            if era is not None and page_era != era:
+                raise StoreUnavailableError(f"table {table}: restored while read")
+            era = page_era
             version = page.version if version < 0 else min(version, page.version)
             changes += page.changes
             if not document.get("hasMore") or not page.changes:
-                return TablePage(version, changes, complete=True)
+                return TablePage(version, changes, complete=True, era=page_era)
             start = page.changes[-1].key + "\0"
         raise StoreUnavailableError(f"table {table} has too many pages")
 
@@ -91,9 +100,8 @@
             StoreUnavailableError: No usable answer came in time.
         """
         query = {"table": table, "after": after_version, "waitMs": int(wait_s * 1000.0)}
-        return _decode_page(
-            await self._get("/rows-feed", query, timeout_s), complete=False
-        )
+        document, era = await self._get("/rows-feed", query, timeout_s)
+        return _decode_page(document, complete=False, era=era)
 
     async def write_row(
         self,
@@ -157,12 +165,14 @@
 
     async def _get(
         self, path: str, query: Mapping[str, object], timeout_s: float
-    ) -> dict[str, Any]:
+    ) -> tuple[dict[str, Any], int]:
+        """Return the document of an answer, and its era."""
         target = f"{path}?{urlencode(query)}"
         try:
             answer = await self._send("GET", target, b"", timeout_s)
         except (NotSentError, ExchangeLostError) as exc:
             raise StoreUnavailableError(f"{path}: {exc}") from exc
+        era = self._read_era(path, answer)
         if answer.status == 410:
             raise HistoryLostError(f"{path}: the history is no longer available")
         if answer.status != 200:
@@ -173,7 +183,23 @@
             raise StoreUnavailableError(f"{path}: answer is not valid JSON") from exc
         if not isinstance(document, dict):
             raise StoreUnavailableError(f"{path}: answer is not a JSON object")
-        return document
+        return document, era
+
+    def _read_era(self, path: str, answer: HttpAnswer) -> int:
+        """Return the era of an answer; the latest known one if it names none.
+
+        Raises:
+            StoreUnavailableError: The value is not valid.
+        """
+        values = [value for name, value in answer.headers if name == STORE_ERA_HEADER]
+        if not values:
+            return self.era
+        text = values[0].strip()
+        if len(values) > 1 or not text.isdigit() or len(text) > MAX_ERA_DIGITS:
+            raise StoreUnavailableError(f"{path}: invalid era {text[:40]!r}")
+        era = int(text)
+        self.era = max(self.era, era)
+        return era
 
     async def _send(
         self, method: str, path: str, body: bytes, timeout_s: float
@@ -192,13 +218,16 @@
         )
 
 
-def _decode_page(document: Mapping[str, Any], *, complete: bool) -> TablePage:
+def _decode_page(document: Mapping[str, Any], *, complete: bool, era: int) -> TablePage:
     version = document.get("ver")
     rows = document.get("rows")
     if type(version) is not int or not isinstance(rows, list):
         raise StoreUnavailableError("malformed page: no version or no list of rows")
     return TablePage(
-        version, [_decode_row(row, version) for row in rows], complete=complete
+        version,
+        [_decode_row(row, version) for row in rows],
+        complete=complete,
+        era=era,
     )
 
 
--- a/tests/test_entry_state.py
+++ b/tests/test_entry_state.py
@@ -4,7 +4,7 @@
 import unittest
 from unittest import mock
 
-from crocusward.desired import RowChange, TablePage, TableReplica
+from crocusward.desired import RowChange, TablePage, TablePosition, TableReplica
 from crocusward.errors import FindingsError
 from crocusward.platform import (
     TABLE_BACKENDS,
@@ -76,7 +76,7 @@
         replica.apply(page(12, ("a", None, 12)), 0.0)
         behind = TableReplica("t")
         behind.apply(page(10, ("a", b"1", 4), ("b", b"2", 9), complete=True), 0.0)
-        behind.apply(replica.get_changes_since(behind.version), 0.0)
+        behind.apply(replica.get_changes_since(behind.position), 0.0)
         self.assertEqual(self.keys(behind), ["b"])
         self.assertEqual(behind.version, 12)
 
@@ -87,7 +87,10 @@
         replica.apply(page(12, ("a", None, 12)), 3.0)
         self.assertIn(
             ("a", None),
-            [(c.key, c.value) for c in replica.get_changes_since(10).changes],
+            [
+                (c.key, c.value)
+                for c in replica.get_changes_since(TablePosition(version=10)).changes
+            ],
         )
 
 
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -5,7 +5,7 @@
 
 import cbor2
 
-from crocusward.desired import EntryHost
+from crocusward.desired import EntryHost, TablePosition
 from crocusward.devtools.entry_soak import LimitedFleet, make_servers
 from crocusward.logs import EventSampler
 from crocusward.neighbours import (
@@ -24,6 +24,10 @@
 from crocusward.neighbours._table import TAKEOVER_STEP_S
 
 
+def at(version, era=0):
+    return TablePosition(era, version)
+
+
 def report(host, seq=1, *, age_s=0.1, incarnation=1, **options):
     return HostReport(
         host,
@@ -31,7 +35,7 @@
         "east-a",
         seq,
         store_age_s=age_s,
-        versions=options.pop("versions", {"op": 3}),
+        positions=options.pop("positions", {"op": at(3)}),
         **options,
     )
 
@@ -42,6 +46,7 @@
         observed = [BackendObservation("b1", ObservationKind.FAILED, 2, 1, 5.0, 0.5)]
         messages = [
             report("h1", in_flight={"b1": 2}, observations=observed, is_complete=True),
+            report("h1", positions={"op": at(-1), "servers": at(7, era=2)}),
             Hello(EntryHost("h1", "10.0.0.1", "east-a"), 3),
             MemberList([EntryHost("h1", "10.0.0.1", "east-a")]),
         ]
@@ -156,20 +161,33 @@
     def test_rows_stay_current_while_newer_ones_are_fetched(self):
         """Guards against a whole group reading the store at each change."""
         table = NeighbourTable("h2", ReadTimes(2.0))
-        self.assertLess(table.update_current_s({"op": 3}, 0.0), -1e6)
-        table.apply_report(report("h1", 1, age_s=0.1, versions={"op": 3}), "a", 5.0)
-        self.assertAlmostEqual(table.update_current_s({"op": 3}, 5.0), 4.9)
-        table.apply_report(report("h1", 2, age_s=0.0, versions={"op": 5}), "a", 5.5)
-        self.assertAlmostEqual(table.update_current_s({"op": 3}, 5.5), 4.9)
-        self.assertAlmostEqual(table.update_current_s({"op": 5}, 5.6), 5.5)
+        self.assertLess(table.update_current_s({"op": at(3)}, 0.0), -1e6)
+        table.apply_report(
+            report("h1", 1, age_s=0.1, positions={"op": at(3)}), "a", 5.0
+        )
+        self.assertAlmostEqual(table.update_current_s({"op": at(3)}, 5.0), 4.9)
+        table.apply_report(
+            report("h1", 2, age_s=0.0, positions={"op": at(5)}), "a", 5.5
+        )
+        self.assertAlmostEqual(table.update_current_s({"op": at(3)}, 5.5), 4.9)
+        self.assertAlmostEqual(table.update_current_s({"op": at(5)}, 5.6), 5.5)
 
     def test_newest_rows_are_found(self):
         """Guards against pulling rows from a neighbour without newer ones."""
         table = NeighbourTable("h1", ReadTimes(2.0))
-        table.apply_report(report("h2", versions={"op": 3}), "a", 0.0)
-        table.apply_report(report("h3", versions={"op": 5}), "b", 0.0)
-        self.assertEqual(table.find_source("op", 4, 0.1).host, "h3")
-        self.assertIsNone(table.find_source("op", 5, 0.1))
+        table.apply_report(report("h2", positions={"op": at(3)}), "a", 0.0)
+        table.apply_report(report("h3", positions={"op": at(5)}), "b", 0.0)
+        self.assertEqual(table.find_source("op", at(4), 0.1).host, "h3")
+        self.assertIsNone(table.find_source("op", at(5), 0.1))
+
+    def test_rows_of_a_later_era_are_newer(self):
+        """Guards against a source whose versions are of a history that was lost."""
+        table = NeighbourTable("h1", ReadTimes(2.0))
+        table.apply_report(report("h2", positions={"op": at(3, era=2)}), "a", 0.0)
+        self.assertLess(table.update_current_s({"op": at(50, era=1)}, 0.1), -1e6)
+        table.apply_report(report("h3", positions={"op": at(50, era=1)}), "b", 0.0)
+        self.assertEqual(table.find_source("op", at(50, era=1), 0.1).host, "h2")
+        self.assertIsNone(table.find_source("op", at(3, era=2), 0.1))
 
 
 class EndpointTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -73,7 +73,7 @@
         """Guards against several hosts that select the same idle server."""
         fixture = SelectorFixture(backend("b1"), backend("b2"))
         report = HostReport(
-            "h2", 1, "east-a", 1, store_age_s=0.0, versions={}, in_flight={"b2": 1}
+            "h2", 1, "east-a", 1, store_age_s=0.0, positions={}, in_flight={"b2": 1}
         )
         fixture.load_table.apply_report(report)
         self.assertEqual(fixture.choose().load.entry.id, "b1")
@@ -318,7 +318,7 @@
                 "east-a",
                 seq,
                 store_age_s=0.0,
-                versions={},
+                positions={},
                 in_flight={"b1": count},
                 observations=observations,
             )
@@ -370,7 +370,7 @@
         fixture = SelectorFixture(backend("b1", cold_left_s=3.0, slots=50))
         for seq, host in enumerate(("h2", "h3", "h4")):
             report = HostReport(
-                host, 1, "east-a", seq, store_age_s=0, versions={}, in_flight={"b1": 1}
+                host, 1, "east-a", seq, store_age_s=0, positions={}, in_flight={"b1": 1}
             )
             fixture.load_table.apply_report(report)
         self.assertIsNone(fixture.choose(can_wait=False).load)
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -82,11 +82,12 @@
 
     def take_rows_from(self, other):
         """Take the rows of a neighbour, as a pull does."""
-        for table, follower in self.followers.items():
-            query = follower.pull_query()
-            data = other.replicator.encode_rows_after(query)
+        for follower in self.followers.values():
+            source = other.followers[follower.copy.name].copy
+            is_merge = follower.should_merge(source.era)
+            data = other.replicator.encode_rows_after(follower.pull_query(is_merge))
             page, hold_s = decode_page(data)
-            follower.apply_neighbour_page(page, hold_s)
+            follower.apply_neighbour_page(page, hold_s, is_merge)
 
     @property
     def servers(self):
