Play restores of the store in the fault soak

The stand-in of the store goes back to a copy some seconds old under the real daemons, and operators and servers write again up to 1.5 s later. A new check, which no fault excuses, finds a daemon that handles a request by an older version than it used before in the same lifetime.

--- a/src/crocusward/devtools/fault_soak/_checks.py
+++ b/src/crocusward/devtools/fault_soak/_checks.py
@@ -15,6 +15,7 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_EXTRA = 5
+ROLLBACK_SLACK_S = 0.25  # between the effect of a version and a request after it
 LIMIT_KNOWN_S = 0.5  # from an answer with a limit until the daemons know it
 HOME_PREFIX = "/home/"
 
@@ -66,6 +67,7 @@
         limits: Times in which servers name rate limits.
         namings_s: When a server answered with a valid limit, by its id, in order.
         starts_s: When each daemon of a data centre was started.
+        lifetimes_s: When a daemon was started, by its IP address.
         harmed: Times in which the path to a server was harmed, by its id.
     """
 
@@ -80,6 +82,7 @@
         self.limits: list[LimitSpan] = []
         self.namings_s: dict[str, list[float]] = {}
         self.starts_s: dict[str, list[list[float]]] = {}
+        self.lifetimes_s: dict[str, list[float]] = {}
         self.harmed: dict[str, list[Span]] = {}
 
     def broken(self) -> list[str]:
@@ -91,6 +94,7 @@
             *self._leaving(),
             *self._out(),
             *self._moved(),
+            *self._reverted(),
             *self._planned_stops(),
             *self._limits(),
         ]
@@ -173,6 +177,33 @@
                     found.append(f"config: {run.id} ran at {old} after it moved")
         return found
 
+    def _reverted(self) -> list[str]:
+        """Return requests that a daemon sent by an older version than it used before.
+
+        Nothing excuses that within one lifetime of the daemon.
+        """
+        found = []
+        asked = {item.id: item for item in self.asked}
+        for index, (moved_s, prefix, old, new) in enumerate(self.moved):
+            later = [m for m in self.moved[index + 1 :] if m[1] == prefix]
+            end_s = later[0][0] if later else 1e18
+            effect_s: dict[tuple[str, int], float] = {}
+            for run in sorted(self.runs, key=lambda item: item.at_s):
+                item = asked.get(run.id)
+                if item is None or not run.path.startswith(prefix):
+                    continue
+                if not moved_s < item.sent_s <= run.at_s < end_s:
+                    continue
+                starts_s = self.lifetimes_s.get(run.host, [])
+                lifetime = (run.host, bisect.bisect(starts_s, run.at_s))
+                if run.service == new:
+                    effect_s.setdefault(lifetime, run.at_s)
+                    continue
+                seen_s = effect_s.get(lifetime, 1e18)
+                if run.service == old and item.sent_s > seen_s + ROLLBACK_SLACK_S:
+                    found.append(f"reverted: {run.id} ran at {old}, {new} was in use")
+        return found
+
     def _planned_stops(self) -> list[str]:
         """Return requests that a planned stop cut although all else was calm."""
         found = []
--- a/src/crocusward/devtools/fault_soak/_faults.py
+++ b/src/crocusward/devtools/fault_soak/_faults.py
@@ -85,6 +85,20 @@
         await world.sleep(0.2)
 
 
+@FAULTS.register("store_restored")
+async def restore_store(world: "World", rng: random.Random, for_s: float) -> None:
+    """Let the store come back from an older copy; its writers write again later."""
+    copy = world.store.copy()
+    await world.sleep(2.0 * for_s)
+    with world.unstable():
+        world.set_store_mode("drop")
+        await world.sleep(rng.choice([0.1, 0.5, 1.5]))
+        world.store.restore(copy)
+        world.set_store_mode("up")
+        await world.sleep(1.5 * rng.random())
+        world.write_again()
+
+
 @FAULTS.register("store_loses_answers")
 async def lose_answers(world: "World", rng: random.Random, for_s: float) -> None:
     """Apply writes and lose their answers."""
--- a/src/crocusward/devtools/fault_soak/_world.py
+++ b/src/crocusward/devtools/fault_soak/_world.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import random
 import socket
 import tempfile
@@ -28,6 +29,8 @@
 ]
 NETWORK_COUNT = 200  # loopback networks of the daemons
 NETWORK_LOCK_PORT = 17999  # bound by the run that uses a network
+FIRST_ERA = 1  # of the store
+FIRST_START_MS = unix_ms() - 60_000  # of all servers, whose ids are not used again
 START_S = 8.0  # in which all daemons must be ready
 CALM_S = 4.0  # after the faults, before the check that requests are served
 SLOW_S = 0.6
@@ -65,11 +68,13 @@
         self._move_service = "alpha"
         self._tasks: list[asyncio.Task[None]] = []
         self._network_lock: socket.socket | None = None
+        self._written: dict[tuple[str, str], bytes | None] = {}
 
     # Start and stop.
 
     async def start(self) -> None:
         """Start everything and wait until all daemons are ready."""
+        self.store.era = FIRST_ERA
         await self.store.start()
         self.store_proxy = FaultProxy(("127.0.0.1", self.store.port))
         await self.store_proxy.start()
@@ -213,7 +218,10 @@
     # Backend servers.
 
     async def add_target(
-        self, service: str, data_centre: str, proxy: FaultProxy | None = None
+        self,
+        service: str,
+        data_centre: str,
+        proxy: FaultProxy | None = None,
     ) -> Target:
         """Start a server and register it, at a given address if there is one."""
         self._number += 1
@@ -234,9 +242,7 @@
         return target
 
     def _register(self, target: Target, state: str) -> None:
-        self.store.put_json(
-            "servers",
-            target.id,
+        entry = json.dumps(
             {
                 "service": target.service,
                 "address": f"127.0.0.1:{self.proxies[target.id].port}",
@@ -244,20 +250,26 @@
                 "version": "v1",
                 "slots": target.slots,
                 "state": state,
-                "warmupLeft": "0ms",
+                "warmupLeft": "0s",
                 "seq": self._number,
-                "born": unix_ms() - 60_000,
-            },
+                "born": FIRST_START_MS,
+            }
         )
+        self._put("servers", target.id, entry.encode())
 
     async def replace_target(self, target: Target) -> None:
         """Start another server and let this one leave in order."""
-        self.targets.remove(target)
         await self.add_target(target.service, target.data_centre)
+        await self.remove_target(target)
+
+    async def remove_target(self, target: Target) -> None:
+        """Let a server leave in order."""
+        self.targets.remove(target)
+        self._number += 1
         self._register(target, "draining")
         self.promises.leaving[target.id] = self.now_s()
         await self.sleep(3.5)
-        self.store.drop("servers", target.id)
+        self._put("servers", target.id, None)
         target.listener.shut()
 
     async def reuse_address(self, target: Target) -> None:
@@ -272,7 +284,23 @@
             await self.add_target(other, target.data_centre, proxy)
             await self.add_target(target.service, target.data_centre)
             await self.sleep(1.0)
-            self.store.drop("servers", target.id)
+            self._put("servers", target.id, None)
+
+    # What operators and backend servers write to the store.
+
+    def _put(self, table: str, key: str, value: bytes | None) -> None:
+        """Write or remove a row, and remember it as what the writer wants."""
+        self._written[(table, key)] = value
+        if value is None:
+            self.store.drop(table, key)
+        else:
+            self.store.put(table, key, value)
+
+    def write_again(self) -> None:
+        """Write again what a restored store has lost."""
+        for (table, key), value in self._written.items():
+            if self.store.rows(table).get(key) != value:
+                self._put(table, key, value)
 
     # Acts of operators.
 
@@ -283,12 +311,12 @@
             and self.promises.out[data_centre][-1][1] > 1e17
         ):
             return
-        self.store.put("op", f"evacuate/{data_centre}", b"{}")
+        self._put("op", f"evacuate/{data_centre}", b"{}")
         spans = self.promises.out.setdefault(data_centre, [])
         start_s = self.now_s()
         spans.append((start_s, 1e18))
         await self.sleep(for_s)
-        self.store.drop("op", f"evacuate/{data_centre}")
+        self._put("op", f"evacuate/{data_centre}", None)
         spans[-1] = (start_s, self.now_s())
 
     def move_route(self) -> None:
@@ -325,7 +353,7 @@
                 "idleTimeout": "15s",
             },
         }
-        self.store.put_json("op", "config", document)
+        self._put("op", "config", json.dumps(document).encode())
 
     # The run.
 
@@ -400,5 +428,6 @@
         for daemon in world.daemons:
             starts_s = world.promises.starts_s.setdefault(daemon.data_centre, [])
             starts_s.append(daemon.starts_s)
+            world.promises.lifetimes_s[daemon.address] = daemon.starts_s
         world.findings += world.promises.broken()
         return world
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -13,6 +13,7 @@
 CI_SEED = 1
 CI_DURATION_S = 4.0
 LIMIT_SEED = 2
+RESTORE_SEED = 3
 # Seeds that once failed, with the cause.
 REGRESSION_SEEDS = {
     9: "SIGHUP ended a daemon that was still loading its modules",
@@ -93,6 +94,20 @@
         self.promises.runs = [run(path="/move/x", at_s=5.0)]
         self.assert_broken("config")
 
+    def test_version_that_comes_back(self):
+        self.promises.asked = [
+            asked(id=f"q{n}", path="/move/x", sent_s=2.0 + n) for n in range(2)
+        ]
+        self.promises.moved = [(1.0, "/move/", "alpha", "beta")]
+        self.promises.runs = [
+            run(id=f"q{n}", path="/move/x", service=service, at_s=2.1 + n)
+            for n, service in enumerate(("beta", "alpha"))
+        ]
+        self.promises.unstable = [Span(0.0, 9.0)]
+        self.assert_broken("reverted")
+        self.promises.lifetimes_s = {"127.0.0.9": [0.0, 2.5]}
+        self.assertEqual(self.promises.broken(), [])
+
     def test_work_beyond_a_rate_limit(self):
         limit = LimitSpan("i-1", 1.0, 0.0)
         self.promises.limits = [limit]
@@ -157,6 +172,10 @@
         world = self.play(LIMIT_SEED, CI_DURATION_S, "server_limits")
         self.assertTrue(world.promises.limits)
 
+    def test_real_daemons_outlast_a_restore_of_the_store(self):
+        """Guards against daemons that follow a history which the store has lost."""
+        self.play(RESTORE_SEED, CI_DURATION_S, "store_restored")
+
     def test_seeds_that_failed_before(self):
         """Guards against the return of failures that the soak has found."""
         for seed, cause in REGRESSION_SEEDS.items():
