--- a/src/crocusward/devtools/fault_soak/_checks.py
+++ b/src/crocusward/devtools/fault_soak/_checks.py
@@ -15,6 +15,8 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_EXTRA = 5
+COLD_WINDOW_S = 1.0
+COLD_REQUESTS = 12.5  # in one window; 5 a second, by 1.5, and 5 more
 ROLLBACK_SLACK_S = 0.25  # between the effect of a version and a request after it
 LIMIT_KNOWN_S = 0.5  # from an answer with a limit until the daemons know it
 HOME_PREFIX = "/home/"
@@ -68,6 +70,7 @@
         namings_s: When a server answered with a valid limit, by its id, in order.
         starts_s: When each daemon of a data centre was started.
         lifetimes_s: When a daemon was started, by its IP address.
+        cold: Cold times of servers, by id.
         harmed: Times in which the path to a server was harmed, by its id.
     """
 
@@ -83,6 +86,7 @@
         self.namings_s: dict[str, list[float]] = {}
         self.starts_s: dict[str, list[list[float]]] = {}
         self.lifetimes_s: dict[str, list[float]] = {}
+        self.cold: dict[str, Span] = {}
         self.harmed: dict[str, list[Span]] = {}
 
     def broken(self) -> list[str]:
@@ -95,6 +99,7 @@
             *self._out(),
             *self._moved(),
             *self._reverted(),
+            *self._cold(),
             *self._planned_stops(),
             *self._limits(),
         ]
@@ -204,6 +209,25 @@
                     found.append(f"reverted: {run.id} ran at {old}, {new} was in use")
         return found
 
+    def _cold(self) -> list[str]:
+        """Return servers that got more than their rate while they were cold."""
+        found = []
+        for server, span in self.cold.items():
+            times = sorted(
+                run.at_s
+                for run in self.runs
+                if run.server == server
+                and span.start_s <= run.at_s <= span.end_s
+                and not self._is_harmed(server, run.at_s)
+            )
+            most = max(
+                (sum(end - COLD_WINDOW_S < at <= end for at in times) for end in times),
+                default=0,
+            )
+            if most > COLD_REQUESTS:
+                found.append(f"cold: {server} got {most}, {COLD_REQUESTS:g} allowed")
+        return found
+
     def _planned_stops(self) -> list[str]:
         """Return requests that a planned stop cut although all else was calm."""
         found = []
--- a/src/crocusward/devtools/fault_soak/_faults.py
+++ b/src/crocusward/devtools/fault_soak/_faults.py
@@ -13,6 +13,8 @@
 FAULTS: Registry[Fault] = Registry("fault")
 LIMIT_MIN_S = 4.0  # beyond the time from which a limit binds
 LIMIT_FACTOR = 2.0
+SERVICE_NAMES = ("alpha", "beta")
+COLD_S = 3.0  # of a server that has just started
 
 
 @FAULTS.register("daemon_kill")
@@ -165,6 +167,21 @@
     await world.replace_target(rng.choice(world.targets))
 
 
+@FAULTS.register("servers_start_cold")
+async def start_cold(world: "World", rng: random.Random, for_s: float) -> None:
+    """Start several cold servers of one data centre at once."""
+    service = rng.choice(SERVICE_NAMES)
+    data_centre = rng.choice(world.data_centres)
+    added = [
+        await world.add_target(service, data_centre, cold_s=COLD_S)
+        for _ in range(rng.choice([1, 3]))
+    ]
+    await world.sleep(COLD_S + for_s)
+    for target in added:
+        if target in world.targets:
+            await world.remove_target(target)
+
+
 @FAULTS.register("address_reuse")
 async def reuse_address(world: "World", rng: random.Random, for_s: float) -> None:
     """End a server without notice; one of another service gets its address."""
--- a/src/crocusward/devtools/fault_soak/_world.py
+++ b/src/crocusward/devtools/fault_soak/_world.py
@@ -222,6 +222,8 @@
         service: str,
         data_centre: str,
         proxy: FaultProxy | None = None,
+        *,
+        cold_s: float = 0.0,
     ) -> Target:
         """Start a server and register it, at a given address if there is one."""
         self._number += 1
@@ -238,10 +240,12 @@
             proxy._target = ("127.0.0.1", target.listener.port)
         self.proxies[id] = proxy
         self.targets.append(target)
-        self._register(target, "ready")
+        if cold_s:
+            self.promises.cold[id] = Span(self.now_s(), self.now_s() + cold_s)
+        self._register(target, "ready", cold_s)
         return target
 
-    def _register(self, target: Target, state: str) -> None:
+    def _register(self, target: Target, state: str, cold_s: float = 0.0) -> None:
         entry = json.dumps(
             {
                 "service": target.service,
@@ -250,7 +254,7 @@
                 "version": "v1",
                 "slots": target.slots,
                 "state": state,
-                "warmupLeft": "0s",
+                "warmupLeft": f"{cold_s:g}s",
                 "seq": self._number,
                 "born": FIRST_START_MS,
             }
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -14,6 +14,7 @@
 CI_DURATION_S = 4.0
 LIMIT_SEED = 2
 RESTORE_SEED = 3
+COLD_SEED = 4
 # Seeds that once failed, with the cause.
 REGRESSION_SEEDS = {
     9: "SIGHUP ended a daemon that was still loading its modules",
@@ -108,6 +109,16 @@
         self.promises.lifetimes_s = {"127.0.0.9": [0.0, 2.5]}
         self.assertEqual(self.promises.broken(), [])
 
+    def test_work_beyond_the_rate_of_a_cold_server(self):
+        self.promises.cold = {"i-1": Span(4.0, 7.0)}
+        self.promises.asked = [asked(id=f"q{n}", path="/look/x") for n in range(13)]
+        self.promises.runs = [
+            run(id=f"q{n}", path="/look/x", at_s=5.0 + n / 20) for n in range(13)
+        ]
+        self.assert_broken("cold")
+        self.promises.cold = {"i-1": Span(4.0, 5.5)}
+        self.assertEqual(self.promises.broken(), [])
+
     def test_work_beyond_a_rate_limit(self):
         limit = LimitSpan("i-1", 1.0, 0.0)
         self.promises.limits = [limit]
@@ -176,6 +187,11 @@
         """Guards against daemons that follow a history which the store has lost."""
         self.play(RESTORE_SEED, CI_DURATION_S, "store_restored")
 
+    def test_real_daemons_keep_the_rate_of_cold_servers(self):
+        """Guards against daemons that send to servers which start at once."""
+        world = self.play(COLD_SEED, CI_DURATION_S, "servers_start_cold")
+        self.assertTrue(world.promises.cold)
+
     def test_seeds_that_failed_before(self):
         """Guards against the return of failures that the soak has found."""
         for seed, cause in REGRESSION_SEEDS.items():
