--- a/src/crocusward/desired/_table_replica.py
+++ b/src/crocusward/desired/_table_replica.py
@@ -18,8 +18,9 @@
     row.
 
     A complete page of a later era is a new history. Rows that were written in it are
-    taken, whatever their version. Rows from before the restored copy was taken change
-    nothing: the replica keeps what it has until it is written again.
+    taken, whatever their version. Rows from before the restored copy was taken are
+    withheld: the replica keeps what it has until it is written again. What is still in
+    the store after ``withhold_restored`` is taken.
 
     During an outage of the store, entries may expire although their writers are
     alive, and a restored table lacks rows that were written since the copy.
@@ -47,6 +48,8 @@
         "_tombstones",
         "_deferred",
         "_defer_until_s",
+        "_withheld",
+        "_withhold_until_s",
     )
 
     def __init__(self, name: str) -> None:
@@ -59,6 +62,8 @@
         self._tombstones: dict[str, RowChange] = {}
         self._deferred: dict[str, RowChange] = {}
         self._defer_until_s = -1.0
+        self._withheld: dict[str, RowChange] = {}
+        self._withhold_until_s = -1.0
 
     @property
     def position(self) -> TablePosition:
@@ -69,6 +74,10 @@
         """Apply no removal before ``until_s``, in monotonic seconds."""
         self._defer_until_s = max(self._defer_until_s, until_s)
 
+    def withhold_restored(self, until_s: float) -> None:
+        """Take no older row of a restored table before ``until_s``."""
+        self._withhold_until_s = max(self._withhold_until_s, until_s)
+
     def deferral_left_s(self, now_s: float) -> float:
         """Return for how long removals are still deferred, in seconds."""
         return max(0.0, self._defer_until_s - now_s)
@@ -113,14 +122,17 @@
                 changed.append(change)
         return changed
 
-    def apply_deferred_removals(self, now_s: float) -> list[RowChange]:
-        """Apply the deferred removals that are due, and return them."""
-        if not self._deferred or now_s < self._defer_until_s:
-            return []
-        due = list(self._deferred.values())
-        self._deferred.clear()
+    def apply_deferred(self, now_s: float) -> list[RowChange]:
+        """Apply deferred removals and withheld rows that are due, and return them."""
+        due: list[RowChange] = []
+        if self._deferred and now_s >= self._defer_until_s:
+            due += self._deferred.values()
+            self._deferred.clear()
         for change in due:
             self._remove(change)
+        if self._withheld and now_s >= self._withhold_until_s:
+            restored = list(self._withheld.values())
+            due += [item for item in restored if self._apply_change(item, now_s)]
         return due
 
     def _find_newer(self, page: TablePage) -> list[RowChange]:
@@ -130,7 +142,7 @@
             present = {change.key for change in page.changes}
             accepted += [
                 RowChange(key, None, page.version)
-                for key in self._rows
+                for key in [*self._rows, *self._withheld]
                 if key not in present
             ]
         return accepted
@@ -148,18 +160,28 @@
         its neighbours.
         """
         copied = self._past.find_copied(page.changes, self._rows)
+        for known in self._rows.values():
+            self._past.add(known)  # under its version of this era
         accepted = []
         self.kept_count = 0
-        tombstones: dict[str, RowChange] = {}
+        self._withheld.clear()
+        tombstones = {
+            key: RowChange(key, None, page.version) for key in self._tombstones
+        }
         for change in page.changes:
             row = self._rows.get(change.key)
             if row is not None and row.value == change.value:
                 self._rows[change.key] = change
+            elif change.value is None:
+                accepted.append(change)
             elif change.key not in copied:
                 accepted.append(change)
             else:
                 self.kept_count += 1
                 self._past.add(change)
+                self._withheld[change.key] = RowChange(
+                    change.key, change.value, page.version
+                )
                 value = row.value if row is not None else None
                 kept = RowChange(change.key, value, page.version)
                 (tombstones if row is None else self._rows)[change.key] = kept
@@ -169,13 +191,17 @@
                 self.kept_count += 1
                 self._rows[key] = RowChange(key, row.value, FIRST_VERSION)
                 accepted.append(RowChange(key, None, page.version))
+            elif key in tombstones:
+                del tombstones[key]
         self._tombstones = tombstones
         self._deferred.clear()
         return accepted
 
     def _apply_change(self, change: RowChange, now_s: float) -> bool:
+        self._withheld.pop(change.key, None)
         if change.value is None:
             if change.key not in self._rows:
+                self._add_tombstone(change)
                 return False
             if now_s < self._defer_until_s:
                 self._deferred[change.key] = change
@@ -189,7 +215,11 @@
         return True
 
     def _remove(self, change: RowChange) -> None:
+        self._withheld.pop(change.key, None)
         self._past.add(self._rows.pop(change.key, None))
+        self._add_tombstone(change)
+
+    def _add_tombstone(self, change: RowChange) -> None:
         self._tombstones.pop(change.key, None)
         self._tombstones[change.key] = change
         while len(self._tombstones) > MAX_TOMBSTONES:
@@ -211,6 +241,8 @@
             or len(self._tombstones) >= MAX_TOMBSTONES
         ):
             rows = list(self._rows.values())
+            if position.version >= 0 and position.era != self.era:
+                rows += self._tombstones.values()  # the store may have some of them
             return TablePage(self.version, rows, complete=True, era=self.era)
         return self._collect_changes(position.version)
 
--- a/src/crocusward/devtools/fault_soak/_faults.py
+++ b/src/crocusward/devtools/fault_soak/_faults.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ...registry import Registry
+from ._checks import APPLY_S, STABLE_S
 
 if TYPE_CHECKING:
     from ._world import World
@@ -14,6 +15,8 @@
 LIMIT_MIN_S = 4.0  # beyond the time from which a limit binds
 LIMIT_FACTOR = 2.0
 SERVICE_NAMES = ("alpha", "beta")
+LOST_WRITES = 300
+READ_S = 0.5  # until daemons have read a change, in calm
 COLD_S = 3.0  # of a server that has just started
 
 
@@ -89,9 +92,17 @@
 
 @FAULTS.register("store_restored")
 async def restore_store(world: "World", rng: random.Random, for_s: float) -> None:
-    """Let the store come back from an older copy; its writers write again later."""
+    """Let the store come back from an older copy; its writers write again later.
+
+    Other lost rows leave its counter far behind what the daemons have read. A route
+    moves afterwards, which they must not miss.
+    """
     copy = world.store.copy()
+    world.move_route()
     await world.sleep(2.0 * for_s)
+    for number in range(LOST_WRITES):
+        world.store.put("heartbeats", f"{number}", b"")
+    await world.sleep(READ_S)
     with world.unstable():
         world.set_store_mode("drop")
         await world.sleep(rng.choice([0.1, 0.5, 1.5]))
@@ -99,6 +110,9 @@
         world.set_store_mode("up")
         await world.sleep(1.5 * rng.random())
         world.write_again()
+    await world.sleep(STABLE_S + READ_S)
+    world.move_route()
+    await world.sleep(APPLY_S + 1.0)
 
 
 @FAULTS.register("store_loses_answers")
--- a/src/crocusward/devtools/soak/__main__.py
+++ b/src/crocusward/devtools/soak/__main__.py
@@ -1,13 +1,10 @@
 """Runs randomised deployments for some time and prints one line of JSON."""
 
-import contextlib
 import json
-import random
 import sys
 import time
 import traceback
 import warnings
-from unittest import mock
 
 import cyclopts
 import hypothesis
@@ -17,8 +14,7 @@
 
 from ...errors import nearest_name
 from ...invariants import InvariantName
-from ...placing import PermitIssuer
-from ..entry_soak import LimitedFleet, make_servers, play_faults
+from ._entry_plays import ENTRY_PLAYS
 from ._machine import Totals, ViolationsFound, make_machine
 
 FAULTS = (
@@ -33,10 +29,11 @@
     "overload-cold",
     "probe-flood",
     "revert-config",
+    "trust-restored-rows",
 )
 NOT_FAULTS = frozenset(
     {
-        "rate_limited_requests",
+        "entry_requests",
         "requests",
         "changes",
         "operator_conflict",
@@ -44,11 +41,6 @@
         "host_start",
     }
 )
-RATE_LIMIT_FAULT = "ignore-rate-limit"
-LIMITED_SERVERS = 12
-LIMITED_REQUESTS_PER_S = 40.0
-LIMITS_PLAYED_S = 14.0
-DATAGRAM_LOSS = 0.02  # share of the datagrams between hosts
 EXIT_USAGE = 2
 EXAMPLES_PER_ROUND = 4
 STEPS_PER_EXAMPLE = 60
@@ -58,8 +50,9 @@
 
 def run_round(seed: int, totals: Totals, faults: frozenset[str]) -> None:
     """Run some examples with one seed."""
-    if faults <= {RATE_LIMIT_FAULT}:
-        play_rate_limits(seed, totals, is_ignored=bool(faults))
+    for name in ENTRY_PLAYS.names():
+        if faults <= {name}:
+            ENTRY_PLAYS.get(name)(seed, totals, bool(faults))
     machine = make_machine(totals, faults)
     seeded = hypothesis.seed(seed)(machine)
     run_state_machine_as_test(
@@ -76,37 +69,6 @@
     )
 
 
-def play_rate_limits(seed: int, totals: Totals, *, is_ignored: bool) -> None:
-    """Play one fleet of entry daemons in front of rate-limited servers.
-
-    Args:
-        seed: Seed of the run.
-        totals: Collects what was broken.
-        is_ignored: Whether the hosts ignore the limits.
-
-    Raises:
-        ViolationsFound: A server got more than its limit allows.
-    """
-    rng = random.Random(seed)
-    with contextlib.ExitStack() as stack:
-        if is_ignored:
-            stack.enter_context(
-                mock.patch.object(PermitIssuer, "has_token", lambda *_: True)
-            )
-        servers = make_servers(LIMITED_SERVERS, 1.0, rng.choice((0.5, 1.0, 3.0)))
-        fleet = LimitedFleet(seed, servers, loss=DATAGRAM_LOSS)
-        stack.callback(fleet.close)
-        play_faults(fleet, seed, LIMITS_PLAYED_S)
-        fleet.play(LIMITED_REQUESTS_PER_S, LIMITS_PLAYED_S)
-        found = fleet.breaches()
-        totals.counts["rate_limited_requests"] += len(fleet.outcomes)
-        totals.violations.update(fleet.violations())
-    totals.violations[InvariantName.RATE_LIMIT] += len(found)
-    totals.details += found[:5]
-    if found:
-        raise ViolationsFound("; ".join(found[:5]))
-
-
 def report(seed: int, totals: Totals, fault: str, rounds: int) -> dict[str, object]:
     """Return the figures of a run."""
     counts = totals.counts
@@ -119,7 +81,7 @@
         "examples": totals.examples,
         "steps": totals.steps,
         "requests": counts["requests"],
-        "rate_limited_requests": counts["rate_limited_requests"],
+        "entry_requests": counts["entry_requests"],
         "changes": counts["changes"],
         "operator_conflicts": counts["operator_conflict"],
         "answers": dict(sorted(totals.answers.items())),
@@ -161,7 +123,7 @@
     for detail in totals.details[:20]:
         print(detail, file=sys.stderr)
     print(json.dumps(report(seed, totals, fault, rounds)))
-    return 1 if failed or totals.violations else 0
+    return 1 if failed or totals.violations.total() else 0
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/src/crocusward/devtools/soak/_entry_plays.py
@@ -0,0 +1,92 @@
+"""Randomised runs of entry daemons, played besides the deployments of the soak."""
+
+import contextlib
+import random
+from collections.abc import Callable
+from unittest import mock
+
+from ...desired._past_rows import PastRows
+from ...invariants import InvariantName
+from ...placing import PermitIssuer
+from ...registry import Registry
+from ..entry_soak import (
+    LimitedFleet,
+    RestoredStoreRun,
+    make_servers,
+    play_faults,
+)
+from ._machine import Totals, ViolationsFound
+
+LIMITED_SERVERS = 12
+LIMITED_REQUESTS_PER_S = 40.0
+LIMITS_PLAYED_S = 14.0
+DATAGRAM_LOSS = 0.02  # share of the datagrams between hosts
+RESTORED_RUNS = 5
+
+Play = Callable[[int, Totals, bool], None]
+# Plays by the planted fault that makes them fail.
+ENTRY_PLAYS: Registry[Play] = Registry("play")
+
+
+def _report(
+    totals: Totals, name: InvariantName, found: list[str], requests: int
+) -> None:
+    totals.counts["entry_requests"] += requests
+    totals.violations[name] += len(found)
+    totals.details += found[:5]
+    if found:
+        raise ViolationsFound("; ".join(found[:5]))
+
+
+@ENTRY_PLAYS.register("ignore-rate-limit")
+def play_rate_limits(seed: int, totals: Totals, is_faulty: bool) -> None:
+    """Play one fleet of entry daemons in front of rate-limited servers.
+
+    Args:
+        seed: Seed of the run.
+        totals: Collects what was broken.
+        is_faulty: Whether the hosts ignore the limits.
+
+    Raises:
+        ViolationsFound: A server got more than its limit allows.
+    """
+    rng = random.Random(seed)
+    with contextlib.ExitStack() as stack:
+        if is_faulty:
+            stack.enter_context(
+                mock.patch.object(PermitIssuer, "has_token", lambda *_: True)
+            )
+        servers = make_servers(LIMITED_SERVERS, 1.0, rng.choice((0.5, 1.0, 3.0)))
+        fleet = LimitedFleet(seed, servers, loss=DATAGRAM_LOSS)
+        stack.callback(fleet.close)
+        play_faults(fleet, seed, LIMITS_PLAYED_S)
+        fleet.play(LIMITED_REQUESTS_PER_S, LIMITS_PLAYED_S)
+        totals.violations.update(fleet.violations())
+        found = fleet.breaches()
+        count = len(fleet.outcomes)
+    _report(totals, InvariantName.RATE_LIMIT, found, count)
+
+
+@ENTRY_PLAYS.register("trust-restored-rows")
+def play_restored_stores(seed: int, totals: Totals, is_faulty: bool) -> None:
+    """Play copies of a store that goes back to older states.
+
+    Args:
+        seed: Seed of the first run.
+        totals: Collects what was broken.
+        is_faulty: Whether the copies take every row of a restored table for a new one.
+
+    Raises:
+        ViolationsFound: A row went back, or a copy differs from the store in the end.
+    """
+    found: list[str] = []
+    with contextlib.ExitStack() as stack:
+        if is_faulty:
+            stack.enter_context(
+                mock.patch.object(PastRows, "find_copied", lambda *_: set())
+            )
+        for number in range(RESTORED_RUNS):
+            run = RestoredStoreRun(seed * RESTORED_RUNS + number)
+            run.play()
+            found += run.findings
+    _report(totals, InvariantName.CONFIG_MONOTONIC, found, 0)
--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -397,7 +397,7 @@
 
     def _tick(self) -> None:
         for follower in self.followers.values():
-            follower.apply_deferred_removals()
+            follower.apply_deferred()
         self.row_replicator.pull_newer_rows()
         self.retry_budget.host_count = max(1, self.hub.fleet_size)
 
--- a/src/crocusward/entryd/_reader.py
+++ b/src/crocusward/entryd/_reader.py
@@ -24,6 +24,8 @@
 MIN_OUTAGE_S = 1.0  # entries may expire in the store if it fails for this long
 # Entries that expired in an outage are written again within about 2 s of its end.
 REMOVAL_HOLD_S = 2.3
+# Old rows of a restored table are written again, or have expired, after about 4.5 s.
+RESTORED_HOLD_S = 6.0
 PULL_TIMEOUT_S = 1.0
 COMPRESSION_LEVEL = 1  # the fastest; enough for the repeated names in routes
 MAX_PAGE_BYTES = 8 << 20
@@ -209,6 +211,7 @@
         if is_new_era:
             # Entries written since the restored copy are written again soon.
             copy.defer_removals(self._timer.now() + REMOVAL_HOLD_S)
+            copy.withhold_restored(self._timer.now() + RESTORED_HOLD_S)
         changes = copy.apply(page, self._timer.now())
         if is_new_era:
             log_event(
@@ -269,9 +272,9 @@
         for change in changes:
             self._on_change(self.copy.name, change)
 
-    def apply_deferred_removals(self) -> None:
-        """Apply removals whose hold time has passed."""
-        for change in self.copy.apply_deferred_removals(self._timer.now()):
+    def apply_deferred(self) -> None:
+        """Apply what was deferred and is due."""
+        for change in self.copy.apply_deferred(self._timer.now()):
             self._on_change(self.copy.name, change)
 
 
--- a/tests/test_entry_state.py
+++ b/tests/test_entry_state.py
@@ -57,8 +57,8 @@
         replica = self.make_replica()
         replica.defer_removals(5.0)
         self.assertEqual(replica.apply(page(12, ("a", None, 12)), 3.0), [])
-        self.assertEqual(replica.apply_deferred_removals(4.9), [])
-        self.assertEqual([c.key for c in replica.apply_deferred_removals(5.0)], ["a"])
+        self.assertEqual(replica.apply_deferred(4.9), [])
+        self.assertEqual([c.key for c in replica.apply_deferred(5.0)], ["a"])
         self.assertEqual(self.keys(replica), ["b"])
 
     def test_row_written_again_is_not_removed(self):
@@ -67,7 +67,7 @@
         replica.defer_removals(5.0)
         replica.apply(page(12, ("a", None, 12)), 3.0)
         replica.apply(page(13, ("a", b"1", 13)), 4.0)
-        self.assertEqual(replica.apply_deferred_removals(6.0), [])
+        self.assertEqual(replica.apply_deferred(6.0), [])
         self.assertEqual(self.keys(replica), ["a", "b"])
 
     def test_neighbour_gets_missed_changes(self):
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -202,7 +202,7 @@
         self.store.restore(copy)
         await asyncio.sleep(3.0)
         for follower in self.host.followers.values():
-            follower.apply_deferred_removals()
+            follower.apply_deferred()
         self.assertEqual(set(self.host.servers), {"i-1", "i-2", "i-3"})
 
     async def test_era_that_rises_twice(self):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,6 +18,7 @@
     "overload-cold": InvariantName.COLD_START,
     "probe-flood": InvariantName.PROBE_BUDGET,
     "revert-config": InvariantName.CONFIG_MONOTONIC,
+    "trust-restored-rows": InvariantName.CONFIG_MONOTONIC,
 }
 MAX_ROUNDS = 12  # a planted fault needs the right event to show
 
