Play cold servers behind a fleet of entry hosts in make soak

Servers of one data centre start at once while requests wait at every host, with faults and with another data centre out at random; counted at the server.

--- a/src/crocusward/devtools/soak/__main__.py
+++ b/src/crocusward/devtools/soak/__main__.py
@@ -22,6 +22,7 @@
     "cut-on-stop",
     "double-dispatch",
     "false-not-run",
+    "ignore-cold-rate",
     "ignore-drain",
     "ignore-leaving",
     "ignore-rate-limit",
--- a/src/crocusward/devtools/soak/_entry_plays.py
+++ b/src/crocusward/devtools/soak/_entry_plays.py
@@ -7,10 +7,12 @@
 
 from ...desired._past_rows import PastRows
 from ...invariants import InvariantName
-from ...placing import PermitIssuer
+from ...placing import NO_LIMIT, BackendLoad, PermitIssuer
 from ...registry import Registry
 from ..entry_soak import (
+    ColdServer,
     LimitedFleet,
+    LimitedServer,
     RestoredStoreRun,
     make_servers,
     play_faults,
@@ -21,7 +23,13 @@
 LIMITED_REQUESTS_PER_S = 40.0
 LIMITS_PLAYED_S = 14.0
 DATAGRAM_LOSS = 0.02  # share of the datagrams between hosts
+COLD_SERVERS = 6
+WARM_SERVERS = 9
+COLD_REQUESTS_PER_S = 160.0
+COLD_FROM_S = 4.0
+COLD_PLAYED_S = 8.0
 RESTORED_RUNS = 5
+DATA_CENTRES = ("east-a", "east-b", "west-a")
 
 Play = Callable[[int, Totals, bool], None]
 # Plays by the planted fault that makes them fail.
@@ -67,6 +75,46 @@
     _report(totals, InvariantName.RATE_LIMIT, found, count)
 
 
+@ENTRY_PLAYS.register("ignore-cold-rate")
+def play_cold_servers(seed: int, totals: Totals, is_faulty: bool) -> None:
+    """Play one fleet whose requests wait while several cold servers start at once.
+
+    Args:
+        seed: Seed of the run.
+        totals: Collects what was broken.
+        is_faulty: Whether the hosts take cold servers for warm ones.
+
+    Raises:
+        ViolationsFound: A cold server got more than its rate allows.
+    """
+    rng = random.Random(seed)
+    servers: list[LimitedServer] = [
+        LimitedServer(f"w-{n}", DATA_CENTRES[n % 3]) for n in range(WARM_SERVERS)
+    ]
+    place = rng.choice(DATA_CENTRES)
+    servers += [
+        ColdServer(f"c-{n}", place, COLD_FROM_S + 0.2 * rng.random())
+        for n in range(COLD_SERVERS)
+    ]
+    with contextlib.ExitStack() as stack:
+        if is_faulty:
+            stack.enter_context(
+                mock.patch.object(BackendLoad, "limit_per_s", lambda *_: NO_LIMIT)
+            )
+        fleet = LimitedFleet(seed, servers, loss=DATAGRAM_LOSS)
+        stack.callback(fleet.close)
+        fleet.list_cold_servers()
+        if rng.random() < 0.5:
+            other = rng.choice([name for name in DATA_CENTRES if name != place])
+            fleet.at(COLD_FROM_S / 2, fleet.take_out, other, True)
+        play_faults(fleet, seed, COLD_PLAYED_S, count=rng.choice((0, 4)))
+        fleet.play(COLD_REQUESTS_PER_S, COLD_PLAYED_S)
+        totals.violations.update(fleet.violations())
+        found = fleet.cold_breaches()
+        count = len(fleet.outcomes)
+    _report(totals, InvariantName.COLD_START, found, count)
+
+
 @ENTRY_PLAYS.register("trust-restored-rows")
 def play_restored_stores(seed: int, totals: Totals, is_faulty: bool) -> None:
     """Play copies of a store that goes back to older states.
