--- a/src/crocusward/config/_log.py
+++ b/src/crocusward/config/_log.py
@@ -82,6 +82,24 @@
         _check_gapless(version, rows)
         return [row.value for row in rows]
 
+    async def find_lost(self, rows: Sequence[ChangeRow]) -> list[ChangeRow]:
+        """Return the rows that the log does not have, in order.
+
+        Args:
+            rows: Rows that were in the log, in order without gaps.
+
+        Raises:
+            StoreUnavailableError: The store cannot be read.
+        """
+        if not rows:
+            return []
+        present = set()
+        after = change_key(rows[0].version - 1)
+        while found := await self._table.scan(CHANGE_PREFIX, after, MAX_FETCH_ROWS):
+            present |= {row.key for row in found}
+            after = found[-1].key
+        return [row for row in rows if change_key(row.version) not in present]
+
     async def head(self, above: int = 0) -> int:
         """Return the last version of the log, scanning from a known version."""
         version = above
--- a/src/crocusward/config/_replica.py
+++ b/src/crocusward/config/_replica.py
@@ -145,6 +145,10 @@
         index = version - self._rows[0].version
         return self._rows[index] if 0 <= index < len(self._rows) else None
 
+    def recent_rows(self) -> list[ChangeRow]:
+        """Return the recent rows, in order without gaps."""
+        return list(self._rows)
+
     def recent_changes(self, above: int, limit: int) -> list[Change]:
         """Return recent changes above a version, in order."""
         last = min(above + limit, self.version)
