Skip answers that name no request once a server has named one

What callers saw elsewhere: 'not run, try again' for requests that a server had run, or a second run. Cause: an answer without an id counted as the answer of the request that waits, so the second copy of an earlier refusal without its id sent the request to another server. Change: a connection on which an answer has named its request skips those that name none, and waits for the right one. On a new connection, and from servers that never name a request, they are taken as before. Copies with an id were skipped already.

--- a/src/crocusward/relay/_exchange.py
+++ b/src/crocusward/relay/_exchange.py
@@ -21,6 +21,7 @@
 from ..timing import boot_time_s
 from ..upstream import (
     HOP_BY_HOP_NAMES,
+    AnswerMatch,
     HttpAnswer,
     HttpPool,
     parse_rate_limit,
@@ -144,7 +145,7 @@
                 timeout_s=time_left_s,
                 limit_bytes=MAX_ANSWER_BYTES,
                 before_write=before_write,
-                matches_request=lambda _, found: _is_answer_to(found, req.id),
+                matches_request=lambda _, found: _match_answer(found, req.id),
                 allow_close_delimited=True,
                 max_idle_s=self.idle_limit_s.get(entry.service),
                 host=req.host.encode("ascii"),
@@ -215,12 +216,12 @@
     return Exchange(ExchangeEnd.NOT_RUN, observation, reason=exc.code)
 
 
-def _is_answer_to(headers: Headers, id: bytes) -> bool:
+def _match_answer(headers: Headers, id: bytes) -> AnswerMatch:
     for name, value in headers:
         if name == REQUEST_ID_HEADER:
-            return value == id
+            return AnswerMatch.OWN if value == id else AnswerMatch.OTHER
     # A server that cannot parse a request answers without a request id.
-    return True
+    return AnswerMatch.UNNAMED
 
 
 def _read_answer(id: str, answer: HttpAnswer, req: CallerRequest) -> Exchange:
--- a/src/crocusward/upstream/_client.py
+++ b/src/crocusward/upstream/_client.py
@@ -5,7 +5,7 @@
 from ..errors import ExchangeLostError, NotSentError
 from ..invariants import InvariantName, Invariants
 from ..model import Backend, BackendAnswer
-from ._connection import HttpAnswer
+from ._connection import AnswerMatch, Headers, HttpAnswer
 from ._encode import INVALID_REQUEST
 from ._headers import (
     HOP_BY_HOP_NAMES,
@@ -99,6 +99,7 @@
             timeout_s=req.timeout_s,
             limit_bytes=req.answer_bytes,
             check=lambda answer: self._check_request_id(answer, request_id),
+            matches_request=self._match_answer,
             before_write=req.before_write,
         )
         return self._build_backend_answer(answer, req)
@@ -129,6 +130,11 @@
         self._read_rate_limit(answer, result)
         return result
 
+    def _match_answer(self, status: int, headers: Headers) -> AnswerMatch:
+        """Return whether an answer names a request; the check compares which."""
+        is_named = any(name == self._names.request_id for name, _ in headers)
+        return AnswerMatch.OWN if is_named else AnswerMatch.UNNAMED
+
     def _check_request_id(self, answer: HttpAnswer, request_id: bytes) -> None:
         name = self._names.request_id
         for header in answer.headers:
--- a/src/crocusward/upstream/_connection.py
+++ b/src/crocusward/upstream/_connection.py
@@ -4,6 +4,7 @@
 import math
 import socket
 from collections.abc import Callable
+from enum import Enum
 from typing import cast
 
 import httptools
@@ -22,6 +23,17 @@
 Headers = list[tuple[bytes, bytes]]
 
 
+class AnswerMatch(Enum):
+    """Which request an answer names."""
+
+    OWN = "own"  # the request that waits for it
+    OTHER = "other"
+    UNNAMED = "unnamed"  # none
+
+
+MatchRequest = Callable[[int, Headers], AnswerMatch]
+
+
 class HttpAnswer(Record):
     """A complete HTTP answer.
 
@@ -93,6 +105,7 @@
         "_has_length",
         "_keep_alive",
         "_matches",
+        "_has_named_answer",
         "_is_skipping",
         "_skips_left",
         "_allow_close_delimited",
@@ -127,7 +140,8 @@
         self._limit_bytes = 0
         self._status = 0
         self._skips_left = 0
-        self._matches: Callable[[int, Headers], bool] | None = None
+        self._matches: MatchRequest | None = None
+        self._has_named_answer = False
         self._allow_close_delimited = False
         self._reset_answer()
 
@@ -172,7 +186,7 @@
         is_head_request: bool,
         timeout_s: float,
         limit_bytes: int,
-        matches_request: Callable[[int, Headers], bool] | None = None,
+        matches_request: MatchRequest | None = None,
         allow_close_delimited: bool = False,
     ) -> HttpAnswer:
         """Write one request and wait for its complete answer.
@@ -183,9 +197,10 @@
                 whatever its headers say.
             timeout_s: Time limit, in seconds.
             limit_bytes: Maximum size of the body.
-            matches_request: Tells from status and headers whether an answer belongs to
-                this request; others are skipped. A server may send a late second
-                answer to an earlier request.
+            matches_request: Tells from status and headers which request an answer
+                names. One that names another request is skipped: a server may send a
+                late second answer to an earlier request. One that names none is skipped
+                if an earlier answer on the connection named its request.
             allow_close_delimited: Whether to accept a body without a length that ends
                 with an orderly close of the connection.
 
@@ -302,9 +317,13 @@
             return
         if status > 599:
             raise ValueError("the status code is out of range")
-        if self._matches is not None and not self._matches(status, self._headers):
-            self._skip_mismatched_answer()
-            return
+        if self._matches is not None:
+            match = self._matches(status, self._headers)
+            is_unnamed = match is AnswerMatch.UNNAMED
+            if match is AnswerMatch.OTHER or (is_unnamed and self._has_named_answer):
+                self._skip_mismatched_answer()
+                return
+            self._has_named_answer |= match is AnswerMatch.OWN
         self._has_head = True
         self._keep_alive = self._parser.should_keep_alive()
         if self._is_head_request:
--- a/src/crocusward/upstream/_pool.py
+++ b/src/crocusward/upstream/_pool.py
@@ -6,7 +6,7 @@
 
 from ..errors import ExchangeLostError, NotSentError
 from ..timing import Subscription, TimerService
-from ._connection import Headers, HttpAnswer, HttpConnection
+from ._connection import HttpAnswer, HttpConnection, MatchRequest
 from ._encode import encode_request
 from ._memory import AnswerMemoryBudget
 
@@ -87,7 +87,7 @@
         limit_bytes: int,
         check: Callable[[HttpAnswer], object] | None = None,
         before_write: Callable[[], object] | None = None,
-        matches_request: Callable[[int, Headers], bool] | None = None,
+        matches_request: MatchRequest | None = None,
         allow_close_delimited: bool = False,
         max_idle_s: float | None = None,
         host: bytes | None = None,
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -7,7 +7,7 @@
 
 from crocusward.errors import ExchangeLostError, NotSentError
 from crocusward.timing import LoopTimer
-from crocusward.upstream import AnswerMemoryBudget, HttpPool
+from crocusward.upstream import AnswerMatch, AnswerMemoryBudget, HttpPool
 
 from .scripted_server import ScriptedServer, answer
 
@@ -270,7 +270,7 @@
         async with EndlessServer(b"", answer(b"x" * 500)) as server:
             with self.assertRaises(ExchangeLostError) as caught:
                 await self.send(
-                    server, timeout_s=20.0, matches_request=lambda *_: False
+                    server, timeout_s=20.0, matches_request=lambda *_: AnswerMatch.OTHER
                 )
         self.assertIn("other requests", str(caught.exception))
 
