Answer requests that outlast a planned stop before the daemon ends

Reported elsewhere: requests taken late in the grace were cut with no answer. Here a request that cannot end before the stop is refused as not run before it is passed on (StoppingTest), and the own interface refuses every request from the announcement on. Such requests are answered 0.3 s before the end: 503, not run, if they still wait, else 504. Evidence: test_requests_that_outlast_the_stop_are_answered; there was no answer before.

--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -68,6 +68,7 @@
 FIRST_START_DISCOVERY_S = 1.5
 FIRST_START_MAX_WAIT_S = 3.0
 STOP_NOTICE_S = 2.6  # the platform checks once a second and needs two failed checks
+LAST_ANSWERS_S = 0.1  # of the margin below, to write the last answers
 STOP_MARGIN_S = 0.3  # left unused at the end of the grace time
 IDLE_CLOSE_SHARE = 0.7  # of the grace time; idle connections are then closed
 BYTES_PER_MB = 1 << 20
@@ -470,6 +471,8 @@
                 self.callers.stop_accepting()
                 self.callers.close_idle()
             await self.timer.sleep(0.05)
+        self.relay.end_calls()
+        await self.timer.sleep(LAST_ANSWERS_S)
         log_event("stopped", cut=self.callers.pending)
         for task in self._tasks:
             task.cancel()
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -84,6 +84,7 @@
         "_reserved_body_bytes",
         "_max_reserved_body_bytes",
         "_losing_attempts",
+        "_until_stop",
     )
 
     def __init__(
@@ -123,6 +124,7 @@
             memory_mb * BYTES_PER_MB * BODY_MEMORY_SHARE
         )
         self._losing_attempts = LosingAttempts()
+        self._until_stop: set[asyncio.Timeout] = set()
 
     # RequestHandler.
 
@@ -167,8 +169,13 @@
             refused.close = True
             return refused
         call = self._make_call(req, route, began_s, limit_s)
+        until_stop = asyncio.timeout(None)
+        self._until_stop.add(until_stop)
         try:
-            answer = await self._serve(call)
+            async with until_stop:
+                answer = await self._serve(call)
+        except TimeoutError:
+            answer = self._end_at_stop(call)
         except asyncio.CancelledError:
             self._log.finish(call, "caller_left", 0)
             raise
@@ -177,6 +184,25 @@
         except Exception as exc:
             self._log.finish(call, "internal_error", 502, reason=repr(exc))
             answer = make_refusal(502, "internal error", close=True)
+        finally:
+            self._until_stop.discard(until_stop)
+        return answer
+
+    def end_calls(self) -> None:
+        """Answer all requests at once, since the daemon is about to end."""
+        now_s = asyncio.get_running_loop().time()
+        for until_stop in self._until_stop:
+            until_stop.reschedule(now_s)
+
+    def _end_at_stop(self, call: Call) -> CallerAnswer:
+        """Answer a request that could not end before the daemon does."""
+        if call.attempts or call.may_have_run:
+            answer = self._fail(call, 504, "the host stops")
+        else:
+            answer = self._refuse(
+                call, Refused("the host stops", STOPPING_RETRY_AFTER_S, code="stopping")
+            )
+        answer.close = True
         return answer
 
     def _make_call(
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -333,6 +333,25 @@
         self.assertEqual(found.status, 503)
         self.assertIn("retry-after", found.headers)
 
+    async def test_requests_that_outlast_the_stop_are_answered(self):
+        """Guards against connections that end without an answer at the stop."""
+        async with ScriptedServer([5.0]) as server:
+            async with self.relay(server) as relay:
+                running, waiting = await relay.client(), await relay.client()
+                running.send("POST", "/order/a", body=b"x")
+                await asyncio.sleep(0.1)
+                relay.book.loads["b0"].own_in_flight = 2  # all slots
+                waiting.send("POST", "/order/a", body=b"x")
+                await asyncio.sleep(0.1)
+                relay.relay.end_calls()
+                async with asyncio.timeout(0.5):
+                    statuses = [
+                        (await client.raw.read()).status
+                        for client in (running, waiting)
+                    ]
+            self.assertEqual(len(server.requests), 1)
+        self.assertEqual(statuses, [504, 503])
+
     async def test_request_that_ends_before_the_stop_is_served(self):
         """Guards against refusing a request that can end before the stop."""
         async with ScriptedServer([reply("q1")]) as server:
