Obey servers that leave, or want nothing from this host for a while

No source read either, so a server that leaves got requests until its entry said so, and one that refused was tried again at once. Change: notices are read from every answer to this host, probes and refusals too, and bind it in every path and once more before the first byte. They are kept by id and start of the server, beyond its entry: an entry that says ready, lapses or comes back changes nothing, a new start has left nothing. When all servers pause, the refusal names the time left.

--- a/src/crocusward/devtools/entry_soak/_host.py
+++ b/src/crocusward/devtools/entry_soak/_host.py
@@ -32,6 +32,7 @@
 from ...relay import (
     BackendClient,
     LoadProber,
+    NoticeTracker,
     RateLimitTracker,
     Relay,
     RequestLog,
@@ -177,6 +178,7 @@
         client = cast(BackendClient, FakeClient(fleet, self))
         self.invariants = Invariants()
         self.rate_limits = RateLimitTracker(fleet.loop.time, sampler)
+        self.notices = NoticeTracker(self.table.notices, self.timer.now, sampler)
         with mock.patch(
             "crocusward.entryd._hub.NeighbourEndpoint",
             lambda on_message, _: FakeEndpoint(fleet, self, on_message),
@@ -195,7 +197,13 @@
             self.hub,
             sampler,
             LoadProber(
-                self.timer, self.directory, times, client, sampler, self.rate_limits
+                self.timer,
+                self.directory,
+                times,
+                client,
+                sampler,
+                self.rate_limits,
+                self.notices,
             ),
         )
         self.slot_offers = SlotOffers(
@@ -222,6 +230,7 @@
             RequestLog(self.timer.now, self.directory, sampler),
             self.invariants,
             self.rate_limits,
+            self.notices,
             300,
         )
 
--- a/src/crocusward/entryd/_exposition.py
+++ b/src/crocusward/entryd/_exposition.py
@@ -48,6 +48,9 @@
     lines.append(f"# TYPE {PREFIX}rate_limit_events_total counter")
     for event, count in process.rate_limits.events.items():
         lines.append(f'{PREFIX}rate_limit_events_total{{event="{event}"}} {count}')
+    lines.append(f"# TYPE {PREFIX}backend_notices_total counter")
+    for event, count in process.notices.events.items():
+        lines.append(f'{PREFIX}backend_notices_total{{event="{event}"}} {count}')
     return ("\n".join(lines) + "\n").encode("utf-8")
 
 
--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -43,6 +43,7 @@
     BackendClient,
     Listener,
     LoadProber,
+    NoticeTracker,
     RateLimitTracker,
     Relay,
     RequestLog,
@@ -124,6 +125,9 @@
         self.store = RowClient(self._store_pool, facts.store)
         self.followers = {name: self._make_follower(name) for name in REPLICATED_TABLES}
         self.rate_limits = RateLimitTracker(boot_time_s, self.sampler)
+        self.notices = NoticeTracker(
+            self.load_table.notices, self.timer.now, self.sampler
+        )
         self.hub = NeighbourHub(
             facts,
             time.time_ns() // 1_000_000,
@@ -172,6 +176,7 @@
                 backend_client,
                 self.sampler,
                 self.rate_limits,
+                self.notices,
             ),
         )
         self.slot_offers = SlotOffers(
@@ -197,6 +202,7 @@
             self.request_log,
             self.invariants,
             self.rate_limits,
+            self.notices,
             facts.limits.memory_mb,
         )
         control = ControlHandler(self)
--- a/src/crocusward/neighbours/_messages.py
+++ b/src/crocusward/neighbours/_messages.py
@@ -29,10 +29,14 @@
         slowdown: Reported slowdown of its machine; 1.0 is unloaded, 0.0 unknown.
         cold_left_s: Reported time until the server is warm, -1 if unknown.
         rate_limit_per_s: Requests per second that it takes, 0.0 if it names no limit,
-            -1 if unknown. This and the next three are not sent to neighbours.
+            -1 if unknown. This and what follows is not sent to neighbours.
         rate_limit_error: Why a limit that it named is not valid, or "".
         asked_s: When the request was sent, by the clock of rate limits.
         answered_s: When the answer arrived, by the same clock.
+        is_leaving: Whether it said that it leaves.
+        retry_after_s: For how long it wants no request of this host, 0.0 if it did not
+            say so.
+        retry_after_error: Why the time that it named is not valid, or "".
     """
 
     __slots__ = (
@@ -46,6 +50,9 @@
         "rate_limit_error",
         "asked_s",
         "answered_s",
+        "is_leaving",
+        "retry_after_s",
+        "retry_after_error",
     )
 
     def __init__(
@@ -67,6 +74,9 @@
         self.rate_limit_error = ""
         self.asked_s = 0.0
         self.answered_s = 0.0
+        self.is_leaving = False
+        self.retry_after_s = 0.0
+        self.retry_after_error = ""
 
 
 class IdleSummary(Record):
--- a/src/crocusward/placing/__init__.py
+++ b/src/crocusward/placing/__init__.py
@@ -8,6 +8,7 @@
 from ._groups import HostGroups, data_centre_of
 from ._load import BackendLoad
 from ._load_table import BackendLoadTable
+from ._notices import ServerNotices
 from ._permits import GroupMembers, PermitIssuer
 from ._queue import QueuedRequest, RequestQueue
 from ._rate_limit import (
@@ -40,6 +41,7 @@
     "LimitedServers",
     "PermitBucket",
     "PermitIssuer",
+    "ServerNotices",
     "QueuedRequest",
     "Refused",
     "RemoteRegionFallback",
--- a/src/crocusward/placing/_load_table.py
+++ b/src/crocusward/placing/_load_table.py
@@ -7,6 +7,7 @@
 from ..neighbours import HostReport
 from ._groups import HostGroups
 from ._load import BackendLoad
+from ._notices import ServerNotices
 from ._permits import PermitIssuer
 from ._rate_limit import PermitBucket
 
@@ -31,6 +32,7 @@
         by_service: The same loads, by service.
         groups: Groups of hosts.
         permits: Permits for limited and cold servers of this group.
+        notices: What servers told this host about themselves.
     """
 
     __slots__ = (
@@ -42,6 +44,7 @@
         "_idle_shares",
         "groups",
         "permits",
+        "notices",
         "_by_group",
         "_cold_rate_factor",
         "_cold_burst",
@@ -59,6 +62,7 @@
         self._idle_shares: dict[tuple[str, str], tuple[float, float]] = {}
         self.groups = groups
         self.permits = PermitIssuer(groups.host)
+        self.notices = ServerNotices()
         self._by_group: dict[tuple[str, str], list[BackendLoad]] | None = None
         self._cold_rate_factor = 1.0
         self._cold_burst = 1.0
@@ -193,6 +197,11 @@
         for load in self.loads.values():
             load.permits.empty()
 
+    def is_closed(self, load: BackendLoad, now_s: float) -> bool:
+        """Return whether a server told this host to send nothing now."""
+        entry = load.entry
+        return self.notices.is_closed(entry.id, entry.started_unix_ms, now_s)
+
     def in_group(self, service: str, group: str) -> list[BackendLoad]:
         """Return the servers of a service that belong to a group.
 
@@ -229,6 +238,7 @@
                 if not load.entry.leaving
                 and not load.is_misdirected
                 and now_s >= load.ejected_until_s
+                and not self.is_closed(load, now_s)
             ]
             own_loads = [
                 x
--- a/src/crocusward/placing/_selector.py
+++ b/src/crocusward/placing/_selector.py
@@ -83,13 +83,14 @@
         self._rng = rng
         self._scorer = BackendScorer(load_table, region, rng)
 
-    def is_allowed(self, load: BackendLoad, route: RouteRule) -> bool:
+    def is_allowed(self, load: BackendLoad, route: RouteRule, now_s: float) -> bool:
         """Return whether requests of a route may be sent to a server at all."""
         entry = load.entry
         return (
             not entry.leaving
             and not load.is_misdirected
             and entry.data_centre not in self._directory.data_centres_out
+            and not self._load_table.is_closed(load, now_s)
             and (not route.regions or load.region in route.regions)
         )
 
@@ -115,7 +116,7 @@
             load
             for load in loads
             if load.region != self._region
-            and self.is_allowed(load, req.route)
+            and self.is_allowed(load, req.route, now_s)
             and load.group not in avoid
             and self._is_eligible(load, req, now_s, False)
         ]
@@ -181,11 +182,20 @@
         if not candidate_set.usable_count:
             raise Refused(
                 "no usable backend server",
-                self._add_jitter(NO_BACKEND_RETRY_AFTER_S),
+                self._add_jitter(self._no_backend_wait_s(req, now_s)),
                 code="no_backend",
             )
         return self._decide(req, candidate_set, now_s, ahead, can_wait)
 
+    def _no_backend_wait_s(self, req: SelectionRequest, now_s: float) -> float:
+        """Return when a server may be usable again, if all have refused this host."""
+        notices = self._load_table.notices
+        pauses_s = [
+            notices.pause_left_s(load.entry.id, now_s)
+            for load in self._load_table.by_service.get(req.service, [])
+        ]
+        return max(NO_BACKEND_RETRY_AFTER_S, min(pauses_s, default=0.0))
+
     def _collect_candidates(
         self,
         req: SelectionRequest,
@@ -200,13 +210,13 @@
         own_loads = self._load_table.in_group(req.service, own_group)
         permits = self._load_table.permits
         permits.take_over(req.service, own_loads, now_s)
-        allowed = self._filter_allowed(own_loads, req)
+        allowed = self._filter_allowed(own_loads, req, now_s)
         if not own_group_only and not self._has_idle(allowed, req, now_s):
             others = self._load_table.by_service.get(req.service, [])
             if len(others) > MAX_SAMPLED_BACKENDS:
                 others = self._rng.sample(others, MAX_SAMPLED_BACKENDS)
             others = [load for load in others if load.group != own_group]
-            allowed = allowed + self._filter_allowed(others, req)
+            allowed = allowed + self._filter_allowed(others, req, now_s)
         is_panicking = self._is_panicking(allowed, now_s)
         for load in allowed:
             entry = load.entry
@@ -385,9 +395,9 @@
         return self._load_table.permits.is_coordinator(req.service, now_s)
 
     def _filter_allowed(
-        self, loads: Sequence[BackendLoad], req: SelectionRequest
+        self, loads: Sequence[BackendLoad], req: SelectionRequest, now_s: float
     ) -> list[BackendLoad]:
-        return [load for load in loads if self.is_allowed(load, req.route)]
+        return [load for load in loads if self.is_allowed(load, req.route, now_s)]
 
     def _estimate_in_flight(self, load: BackendLoad, now_s: float) -> float:
         """Return the requests in flight to assume at a server of another group."""
--- a/src/crocusward/platform/_wire_names.py
+++ b/src/crocusward/platform/_wire_names.py
@@ -22,6 +22,8 @@
 COLD_LEFT_MS_HEADER = b"crocusward-warmup-remaining-ms"
 # Requests per second that a server takes from all hosts together, a decimal number.
 RATE_LIMIT_HEADER = b"server-limit"
+# "1" in any answer of a server that leaves.
+LEAVING_HEADER = b"server-leaving"
 # Number of the store's history; rises when the store comes back from an older copy.
 STORE_ERA_HEADER = b"store-era"
 
--- a/src/crocusward/relay/__init__.py
+++ b/src/crocusward/relay/__init__.py
@@ -4,6 +4,7 @@
 from ._exchange import BackendClient, Exchange, ExchangeEnd
 from ._listener import Listener
 from ._messages import CallerAnswer, CallerRequest, make_refusal
+from ._notice_tracker import NoticeTracker
 from ._permits import PermitAnswer
 from ._pipeline import Relay
 from ._probing import LoadProber
@@ -27,6 +28,7 @@
     "PermitAnswer",
     "SlotFinder",
     "SlotOffers",
+    "NoticeTracker",
     "RateLimitTracker",
     "Relay",
     "RequestLog",
--- a/src/crocusward/relay/_exchange.py
+++ b/src/crocusward/relay/_exchange.py
@@ -14,6 +14,7 @@
     COLD_LEFT_MS_HEADER,
     DEADLINE_MS_HEADER,
     EXPECTED_BACKEND_HEADER,
+    LEAVING_HEADER,
     NOT_RUN,
     RATE_LIMIT_HEADER,
     REQUEST_ID_HEADER,
@@ -25,6 +26,7 @@
     HttpAnswer,
     HttpPool,
     parse_rate_limit,
+    parse_retry_after,
     select_end_to_end_headers,
 )
 from ._messages import CallerAnswer, CallerRequest, Headers
@@ -34,6 +36,9 @@
 # not run; the others, as any status from 400, only with the not-run header.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
+RETRY_AFTER_HEADER = b"retry-after"
+LEAVING_VALUE = b"1"
 MS_PER_S = 1000.0
 UNLOADED_SLOWDOWN_PERCENT = 100.0  # load reports give the slowdown in percent
 _REMOVED_REQUEST_HEADERS = HOP_BY_HOP_NAMES | {
@@ -45,6 +50,7 @@
     b"content-length",
     BACKEND_LOAD_HEADER,
     COLD_LEFT_MS_HEADER,
+    LEAVING_HEADER,
     NOT_RUN,
 }
 
@@ -194,6 +200,7 @@
         observation.asked_s = asked_s
         observation.answered_s = boot_time_s()
         _read_rate_limit(answer.headers, observation)
+        _read_notices(answer, observation)
         return observation
 
     def _reduce_idle_limit(self, service: str, exc: ExchangeLostError) -> None:
@@ -242,6 +249,7 @@
         observation.kind = ObservationKind.MISDIRECTED
         return Exchange(ExchangeEnd.NOT_RUN, observation, reason="misdirected")
     _read_rate_limit(answer.headers, observation)
+    _read_notices(answer, observation)
     if has_not_run_header and status >= 400:
         observation.kind = ObservationKind.REFUSED
         return Exchange(
@@ -290,6 +298,22 @@
         observation.rate_limit_error = str(exc)
 
 
+def _read_notices(answer: HttpAnswer, observation: BackendObservation) -> None:
+    """Record whether the server leaves, and for how long it wants nothing."""
+    retry_after = []
+    for name, value in answer.headers:
+        if name == LEAVING_HEADER and value.strip() == LEAVING_VALUE:
+            observation.is_leaving = True
+        elif name == RETRY_AFTER_HEADER:
+            retry_after.append(value)
+    if answer.status != UNAVAILABLE_STATUS or not retry_after:
+        return
+    try:
+        observation.retry_after_s = parse_retry_after(retry_after)
+    except ValueError as exc:
+        observation.retry_after_error = str(exc)
+
+
 def _parse_load_report(value: bytes, observation: BackendObservation) -> None:
     """Parse a load report: running, waiting, slots and, if present, slowdown."""
     parts = value.split(b",")
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -24,6 +24,7 @@
 from ._exchange import BackendClient, Exchange, ExchangeEnd
 from ._hedging import LosingAttempts
 from ._messages import CallerAnswer, CallerRequest, make_refusal
+from ._notice_tracker import NoticeTracker
 from ._rate_limits import RateLimitTracker
 from ._requests import Call, RequestLog
 from ._reserved_slot import NeighbourNotifier
@@ -55,6 +56,7 @@
         log: Logs requests and records their outcomes.
         invariants: Checks invariants at run time.
         rate_limits: Applies the rate limits that servers name.
+        notices: Applies what servers tell this host about themselves.
         memory_mb: Memory of the host, in MiB.
 
     Attributes:
@@ -79,6 +81,7 @@
         "_log",
         "_invariants",
         "_rate_limits",
+        "_notices",
         "_slot_finder",
         "_split",
         "_reserved_body_bytes",
@@ -101,6 +104,7 @@
         log: RequestLog,
         invariants: Invariants,
         rate_limits: RateLimitTracker,
+        notices: NoticeTracker,
         memory_mb: int,
     ) -> None:
         self.limits: CallerLimits = DEFAULT_LIMITS
@@ -117,6 +121,7 @@
         self._log = log
         self._invariants = invariants
         self._rate_limits = rate_limits
+        self._notices = notices
         self._slot_finder = slot_finder
         self._split = WeightedSplit()
         self._reserved_body_bytes = 0
@@ -369,7 +374,7 @@
         left_s = call.selection_req.deadline_s - self._now()
 
         def check_before_write() -> None:
-            if not self._selector.is_allowed(load, route):
+            if not self._selector.is_allowed(load, route, self._now()):
                 raise NotSentError("the server is out of service", code=WITHDRAWN)
             is_limited = load.is_limited(self._now())
             if is_limited and self._rate_limits.now() > permit_end_s:
@@ -402,6 +407,7 @@
             was_ejected = load.is_ejected(self._now())
             load.observe(observation, self._now())
             self._rate_limits.observe(load, observation, call.selection_req.id)
+            self._notices.observe(load, observation, call.selection_req.id)
             self._log.log_ejection_change(call, load, observation, was_ejected)
         self._notifier.notify_change(load, observation)
         self.dispatch_queued(call.selection_req.service)
--- a/src/crocusward/relay/_probing.py
+++ b/src/crocusward/relay/_probing.py
@@ -9,6 +9,7 @@
 from ..placing import BackendLoad, ServiceTimeModel
 from ..timing import TimerService
 from ._exchange import BackendClient
+from ._notice_tracker import NoticeTracker
 from ._rate_limits import RateLimitTracker
 
 MAX_PROBE_WAIT_S = 0.03  # a slower probe would delay its request too much
@@ -34,6 +35,7 @@
         client: Sends the probes.
         sampler: Logs probes without an answer.
         rate_limits: Applies the rate limits that servers name.
+        notices: Applies what servers tell this host about themselves.
 
     Attributes:
         probe_count: Number of probes sent so far.
@@ -47,6 +49,7 @@
         "_client",
         "_sampler",
         "_rate_limits",
+        "_notices",
         "_probe_time_s",
         "_tasks",
     )
@@ -59,9 +62,11 @@
         client: BackendClient,
         sampler: EventSampler,
         rate_limits: RateLimitTracker,
+        notices: NoticeTracker,
     ) -> None:
         self._sampler = sampler
         self._rate_limits = rate_limits
+        self._notices = notices
         self.probe_count = 0
         self._timer = timer
         self._directory = directory
@@ -147,5 +152,6 @@
             return None
         load.observe(observation, now_s)
         self._rate_limits.observe(load, observation)
+        self._notices.observe(load, observation)
         self._times.observe_slowdown(service, observation.slowdown)
         return observation
--- a/src/crocusward/relay/_slot_finder.py
+++ b/src/crocusward/relay/_slot_finder.py
@@ -289,7 +289,7 @@
         is_eligible = (
             load is not None
             and slot.backend not in req.excluded
-            and self._selector.is_allowed(load, req.route)
+            and self._selector.is_allowed(load, req.route, self._timer.now())
         )
         if load is None or not is_eligible:
             self._notifier.release(slot)
--- a/src/crocusward/upstream/__init__.py
+++ b/src/crocusward/upstream/__init__.py
@@ -7,6 +7,7 @@
     HOP_BY_HOP_NAMES,
     HeaderNames,
     parse_rate_limit,
+    parse_retry_after,
     select_end_to_end_headers,
 )
 from ._interface import Upstream, UpstreamRequest
@@ -24,6 +25,7 @@
     "Upstream",
     "UpstreamRequest",
     "parse_rate_limit",
+    "parse_retry_after",
     "select_end_to_end_headers",
     "has_no_stray_control_chars",
 ]
--- a/src/crocusward/upstream/_headers.py
+++ b/src/crocusward/upstream/_headers.py
@@ -22,6 +22,7 @@
 )
 # Bounded, so that a number without end is not read as a limit.
 _RATE_PATTERN = re.compile(rb"\d{1,9}(?:\.\d{1,9})?")
+MAX_RETRY_AFTER_S = 3600.0  # that a server may name
 
 
 class HeaderNames(Record):
@@ -88,6 +89,24 @@
     return float(text)
 
 
+def parse_retry_after(values: Sequence[bytes]) -> float:
+    """Return the time that an answer names in Retry-After, in seconds.
+
+    Args:
+        values: Values of all header fields that name it.
+
+    Raises:
+        ValueError: The fields name no decimal number of at most ``MAX_RETRY_AFTER_S``,
+            or more than one.
+    """
+    if len(values) != 1:
+        raise ValueError(f"named {len(values)} times in one answer")
+    text = values[0].strip()
+    if _RATE_PATTERN.fullmatch(text) is None or float(text) > MAX_RETRY_AFTER_S:
+        raise ValueError(f"{text[:24]!r} is not a number of seconds")
+    return float(text)
+
+
 def select_end_to_end_headers(
     headers: Sequence[tuple[bytes, bytes]], dropped_names: Collection[bytes]
 ) -> list[tuple[bytes, bytes]]:
--- a/tests/entry_support.py
+++ b/tests/entry_support.py
@@ -24,6 +24,7 @@
 from crocusward.relay import (
     BackendClient,
     Listener,
+    NoticeTracker,
     RateLimitTracker,
     Relay,
     RequestLog,
@@ -129,6 +130,7 @@
             RequestLog(self.timer.now, self.directory, sampler),
             self.invariants,
             self.rate_limits,
+            NoticeTracker(self.book.notices, self.timer.now, sampler),
             100,
         )
         self.relay.limits = self.directory.state.limits
