Play servers that leave or pause in the fault soak

Servers say that they leave before their entry does, and refuse with the time for which they want nothing; checked for each daemon by the requests that reach them. The check of versions that come back went by the address that a server sees, which is the proxy's for all daemons; it goes by the daemon that the caller asked now.

--- a/src/crocusward/devtools/fault_soak/_checks.py
+++ b/src/crocusward/devtools/fault_soak/_checks.py
@@ -2,8 +2,10 @@
 
 import bisect
 from collections import Counter
+from collections.abc import Callable
 
 from ._callers import PROMISES, Asked
+from ._notices import Notices
 from ._targets import Run
 
 DRAIN_S = 2.0  # bounds of the settings that the daemons get
@@ -69,8 +71,10 @@
         limits: Times in which servers name rate limits.
         namings_s: When a server answered with a valid limit, by its id, in order.
         starts_s: When each daemon of a data centre was started.
-        lifetimes_s: When a daemon was started, by its IP address.
+        lifetimes_s: When a daemon was started, by its name.
+        addresses: IP addresses of the daemons, by name.
         cold: Cold times of servers, by id.
+        notices: What servers told each daemon.
         harmed: Times in which the path to a server was harmed, by its id.
     """
 
@@ -86,7 +90,9 @@
         self.namings_s: dict[str, list[float]] = {}
         self.starts_s: dict[str, list[list[float]]] = {}
         self.lifetimes_s: dict[str, list[float]] = {}
+        self.addresses: dict[str, str] = {}
         self.cold: dict[str, Span] = {}
+        self.notices = Notices()
         self.harmed: dict[str, list[Span]] = {}
 
     def broken(self) -> list[str]:
@@ -100,6 +106,8 @@
             *self._moved(),
             *self._reverted(),
             *self._cold(),
+            *self._told_leaving(),
+            *self._pauses(),
             *self._planned_stops(),
             *self._limits(),
         ]
@@ -199,8 +207,8 @@
                     continue
                 if not moved_s < item.sent_s <= run.at_s < end_s:
                     continue
-                starts_s = self.lifetimes_s.get(run.host, [])
-                lifetime = (run.host, bisect.bisect(starts_s, run.at_s))
+                starts_s = self.lifetimes_s.get(item.daemon, [])
+                lifetime = (item.daemon, bisect.bisect(starts_s, run.at_s))
                 if run.service == new:
                     effect_s.setdefault(lifetime, run.at_s)
                     continue
@@ -228,6 +236,47 @@
                 found.append(f"cold: {server} got {most}, {COLD_REQUESTS:g} allowed")
         return found
 
+    def _told_leaving(self) -> list[str]:
+        """Return requests to a server that had told the daemon that it leaves."""
+        found = []
+        asked = {item.id: item for item in self.asked}
+        told = self.notices.find_told(self._daemon_of())
+        for run in self.runs:
+            item = asked.get(run.id)
+            told_s = told.get((run.server, item.daemon)) if item is not None else None
+            if item is None or told_s is None or item.sent_s <= told_s + DRAIN_S:
+                continue
+            if not self._was_disturbed(item.daemon, told_s, run.at_s):
+                late_s = item.sent_s - told_s
+                found.append(f"told: {run.server} got {run.id} after {late_s:.2f} s")
+        return found
+
+    def _pauses(self) -> list[str]:
+        """Return servers that got more requests than they had asked a daemon for."""
+        return [
+            f"pause: {pause.server} got {count} from {daemon}"
+            for pause, daemon, count in self.notices.find_broken_pauses(
+                self._daemon_of()
+            )
+            if not self._was_disturbed(daemon, pause.start_s, pause.end_s)
+            and not self._is_harmed(pause.server, pause.end_s)
+        ]
+
+    def _daemon_of(self) -> Callable[[str], str]:
+        """Return a function that gives the daemon of a request."""
+        daemons = {item.id: item.daemon for item in self.asked}
+        return lambda id: daemons.get(id, "")
+
+    def _was_disturbed(self, daemon: str, start_s: float, end_s: float) -> bool:
+        """Return whether a daemon was started or frozen in a time."""
+        starts_s = self.lifetimes_s.get(daemon, [])
+        address = self.addresses.get(daemon, "")
+        return any(start_s < at_s <= end_s for at_s in starts_s) or any(
+            span.host == address and span.start_s <= end_s and span.end_s >= start_s
+            for span in self.unstable
+            if span.host
+        )
+
     def _planned_stops(self) -> list[str]:
         """Return requests that a planned stop cut although all else was calm."""
         found = []
--- a/src/crocusward/devtools/fault_soak/_faults.py
+++ b/src/crocusward/devtools/fault_soak/_faults.py
@@ -155,6 +155,29 @@
         world.end_limit(target)
 
 
+@FAULTS.register("server_says_leaving")
+async def say_leaving(world: "World", rng: random.Random, for_s: float) -> None:
+    """Let a server say that it leaves, some time before its entry does."""
+    target = rng.choice(world.targets)
+    target.is_leaving = True
+    await world.sleep(2.0 * for_s + 1.0)
+    if target in world.targets:
+        await world.replace_target(target)
+
+
+@FAULTS.register("server_pauses")
+async def pause_server(world: "World", rng: random.Random, for_s: float) -> None:
+    """Let servers refuse requests with the time for which they want none."""
+    chosen = rng.sample(world.targets, rng.choice([1, 3]))
+    with world.unstable():
+        for target in chosen:
+            target.mode, target.share = "shed", rng.choice([0.3, 1.0])
+            target.pause_s = rng.choice([0.8, 2.0, 5.0])
+        await world.sleep(for_s)
+        for target in chosen:
+            target.mode, target.pause_s = "", 0.0
+
+
 @FAULTS.register("server_path")
 async def harm_path(world: "World", rng: random.Random, for_s: float) -> None:
     """Delay, reset, silence or cut one way the path to a server."""
--- a/src/crocusward/devtools/fault_soak/_targets.py
+++ b/src/crocusward/devtools/fault_soak/_targets.py
@@ -5,6 +5,7 @@
 
 from ...model import Record
 from ..standins._http import Connection, Listener, StandinRequest
+from ._notices import Notices, Pause
 
 QUEUE = 4  # requests that wait beyond the slots
 
@@ -51,6 +52,8 @@
         mode: How it misbehaves: "", "hang", "reset", "lose", "extra", "cut", "shed".
         share: Share of the requests on which it does.
         limits: Values of the rate limit that it names in each answer, not all valid.
+        is_leaving: Whether it says in each answer that it leaves.
+        pause_s: Retry-After of its refusals, 0.0 without one.
         listener: Where it listens.
     """
 
@@ -61,6 +64,7 @@
         data_centre: str,
         runs: list[Run],
         namings_s: list[float],
+        notices: Notices,
         rng: random.Random,
         *,
         slots: int = 2,
@@ -71,10 +75,13 @@
         self.mode = ""
         self.share = 1.0
         self.limits: list[str] = []
+        self.is_leaving = False
+        self.pause_s = 0.0
         self.slots = slots
         self.listener = Listener(self, "127.0.0.1", 0)
         self._runs = runs
         self._namings_s = namings_s
+        self._notices = notices
         self._rng = rng
         self._busy = 0
         self._waiting: list[tuple[Connection, StandinRequest]] = []
@@ -90,6 +97,7 @@
 
     def on_request(self, conn: Connection, req: StandinRequest) -> None:
         """Run a request, or misbehave."""
+        now_s = asyncio.get_running_loop().time()
         load = b"Crocusward-Server-Load: %d,%d,%d,100\r\n"
         head = load % (self._busy, len(self._waiting), self.slots)
         head += self._limit_lines()
@@ -99,6 +107,7 @@
             return
         id = req.headers.get(b"crocusward-request-id", b"")
         own = b"Crocusward-Request-Id: %s\r\n" % id
+        self._notices.arrivals.append((self.id, id.decode(), now_s))
         if req.headers.get(b"crocusward-expected-instance", b"").decode() != self.id:
             conn.respond(421, b"", own)
             return
@@ -106,7 +115,7 @@
         is_full = self._busy + len(self._waiting) >= self.slots + QUEUE
         if mode == "shed" or is_full:
             own += b"Crocusward-Not-Executed: 1\r\n" + self._limit_lines()
-            conn.respond(503, b"", own)
+            conn.respond(503, b"", own + self._notice_lines(id.decode(), conn))
             return
         conn.job = mode
         if self._busy >= self.slots:
@@ -119,9 +128,24 @@
             self._namings_s.append(asyncio.get_running_loop().time())
         return b"".join(b"Server-Limit: %s\r\n" % x.encode() for x in self.limits)
 
+    def _notice_lines(self, id: str, conn: Connection) -> bytes:
+        """Return the notices in a refusal."""
+        lines = self._leaving_line(id, conn)
+        if self.pause_s and not conn.closed:
+            now_s = asyncio.get_running_loop().time()
+            self._notices.pauses.append(Pause(self.id, id, now_s, now_s + self.pause_s))
+            lines += b"Retry-After: %g\r\n" % self.pause_s
+        return lines
+
+    def _leaving_line(self, id: str, conn: Connection) -> bytes:
+        if not self.is_leaving or conn.closed:
+            return b""
+        now_s = asyncio.get_running_loop().time()
+        self._notices.leaving.append((self.id, id, now_s))
+        return b"Server-Leaving: 1\r\n"
+
     def _start(self, conn: Connection, req: StandinRequest) -> None:
-        transport = conn.transport
-        host = transport.get_extra_info("peername")[0] if transport else ""
+        host = _host_of(conn)
         id = req.headers[b"crocusward-request-id"].decode()
         loop = asyncio.get_running_loop()
         self._runs.append(
@@ -157,7 +181,7 @@
             len(self._waiting),
             self.slots,
         )
-        head += self._limit_lines()
+        head += self._limit_lines() + self._leaving_line(id, conn)
         if mode == "cut" and conn.transport is not None and not conn.closed:
             full = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s\r\n" % (
                 len(body) + 9,
@@ -176,3 +200,9 @@
     def _write(self, conn: Connection, data: bytes) -> None:
         if conn.transport is not None and not conn.closed:
             conn.transport.write(data)
+
+
+def _host_of(conn: Connection) -> str:
+    """Return the IP address of the daemon at the other end."""
+    peer = conn.transport.get_extra_info("peername") if conn.transport else None
+    return str(peer[0]) if peer else ""
--- a/src/crocusward/devtools/fault_soak/_world.py
+++ b/src/crocusward/devtools/fault_soak/_world.py
@@ -230,7 +230,13 @@
         id = f"i-{self._number}"
         namings_s = self.promises.namings_s.setdefault(id, [])
         target = Target(
-            id, service, data_centre, self.promises.runs, namings_s, self.rng
+            id,
+            service,
+            data_centre,
+            self.promises.runs,
+            namings_s,
+            self.promises.notices,
+            self.rng,
         )
         await target.listener.open()
         if proxy is None:
@@ -432,6 +438,7 @@
         for daemon in world.daemons:
             starts_s = world.promises.starts_s.setdefault(daemon.data_centre, [])
             starts_s.append(daemon.starts_s)
-            world.promises.lifetimes_s[daemon.address] = daemon.starts_s
+            world.promises.lifetimes_s[daemon.name] = daemon.starts_s
+            world.promises.addresses[daemon.name] = daemon.address
         world.findings += world.promises.broken()
         return world
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -7,6 +7,7 @@
 
 from crocusward.devtools.fault_soak._callers import Asked
 from crocusward.devtools.fault_soak._checks import LimitSpan, Promises, Span
+from crocusward.devtools.fault_soak._notices import Pause
 from crocusward.devtools.fault_soak._targets import Run
 from crocusward.devtools.fault_soak._world import World, run_soak
 
@@ -15,6 +16,7 @@
 LIMIT_SEED = 2
 RESTORE_SEED = 3
 COLD_SEED = 4
+NOTICE_SEEDS = {5: "server_says_leaving", 6: "server_pauses"}
 # Seeds that once failed, with the cause.
 REGRESSION_SEEDS = {
     9: "SIGHUP ended a daemon that was still loading its modules",
@@ -106,7 +108,7 @@
         ]
         self.promises.unstable = [Span(0.0, 9.0)]
         self.assert_broken("reverted")
-        self.promises.lifetimes_s = {"127.0.0.9": [0.0, 2.5]}
+        self.promises.lifetimes_s = {"h1": [0.0, 2.5]}
         self.assertEqual(self.promises.broken(), [])
 
     def test_work_beyond_the_rate_of_a_cold_server(self):
@@ -119,6 +121,24 @@
         self.promises.cold = {"i-1": Span(4.0, 5.5)}
         self.assertEqual(self.promises.broken(), [])
 
+    def test_work_for_a_server_that_said_it_leaves(self):
+        self.promises.asked = [asked(sent_s=4.0)]
+        self.promises.runs = [run(at_s=4.1)]
+        self.promises.notices.leaving = [("i-1", "q1", 1.0)]
+        self.assert_broken("told")
+        self.promises.lifetimes_s = {"h1": [0.0, 3.0]}
+        self.assertEqual(self.promises.broken(), [])
+
+    def test_requests_for_a_server_that_wants_none(self):
+        notices = self.promises.notices
+        self.promises.asked = [asked()]
+        notices.pauses = [Pause("i-1", "q1", 1.0, 4.0)]
+        notices.arrivals = [("i-1", "q1", at_s) for at_s in (1.2, 2.0, 2.1, 2.2, 4.5)]
+        self.assert_broken("pause")
+        self.promises.addresses = {"h1": "127.0.0.9"}
+        self.promises.unstable = [Span(2.0, 2.5, "127.0.0.9")]
+        self.assertEqual(self.promises.broken(), [])
+
     def test_work_beyond_a_rate_limit(self):
         limit = LimitSpan("i-1", 1.0, 0.0)
         self.promises.limits = [limit]
@@ -192,6 +212,12 @@
         world = self.play(COLD_SEED, CI_DURATION_S, "servers_start_cold")
         self.assertTrue(world.promises.cold)
 
+    def test_real_daemons_obey_servers(self):
+        """Guards against requests to servers that want none."""
+        for seed, first in NOTICE_SEEDS.items():
+            with self.subTest(seed=seed, first=first):
+                self.play(seed, CI_DURATION_S, first)
+
     def test_seeds_that_failed_before(self):
         """Guards against the return of failures that the soak has found."""
         for seed, cause in REGRESSION_SEEDS.items():
