--- a/src/crocusward/config/_manager.py
+++ b/src/crocusward/config/_manager.py
@@ -11,7 +11,6 @@
     FindingsError,
     SourceLocation,
 )
-from ..logs import Level, log_event
 from ..model import FleetConfig, ListedHost
 from ..peer import (
     ChangeBatch,
@@ -28,6 +27,7 @@
 from ._holds import Holds, find_name_fault
 from ._interface import ChangeReceipt, InForceReport
 from ._log import MAX_FETCH_ROWS, SNAPSHOT_INTERVAL_CHANGES, ChangeLog
+from ._log_repair import LogRepair
 from ._operations import Scope, find_handler
 from ._quorum import QuorumCheck
 from ._replica import Listener, Replica
@@ -85,6 +85,7 @@
         "_regions",
         "_reports",
         "_quorum_check",
+        "_repair",
     )
 
     def __init__(
@@ -121,6 +122,7 @@
         self._regions: dict[str, str] = {}
         self._reports = VersionReports(host)
         self._quorum_check: QuorumCheck | None = None
+        self._repair = LogRepair(log, replica, self.counts)
         replica.subscribe(self._version_changed)
 
     async def start(self) -> None:
@@ -385,7 +387,7 @@
             return
         self._broadcast(ChangeBatch(row.version, (row.data,)))
         # The store may have lost the changes before this one since it was last read.
-        self._background.spawn(self._write_lost_changes())
+        self._background.spawn(self._repair.write_lost_changes())
         if row.version % SNAPSHOT_INTERVAL_CHANGES == 0:
             self._background.spawn(self._log.save_snapshot(self.replica.snapshot()))
             self.counts["snapshots"] += 1
@@ -408,54 +410,12 @@
             await self._log.load(self.replica)
         while True:
             started_s = self._timer.now()
-            rows = await self._fetch_from_version()
+            rows = await self._repair.fetch_from_version()
             self.replica.receive_rows(rows)
             if len(rows) < MAX_FETCH_ROWS:
                 break
         self.freshness.confirmed_by_store(started_s)
 
-    async def _fetch_from_version(self) -> list[bytes]:
-        """Return the rows of the log from the version in force on.
-
-        The row of that version shows whether the store has come back from an older
-        copy. What it has lost is then written again.
-        """
-        version = self.replica.version
-        try:
-            rows = await self._log.fetch_above(max(0, version - 1))
-        except CrocusError as exc:
-            if exc.code != "log_gap":
-                raise
-            rows = []
-        if rows or not version:
-            return rows
-        await self._write_lost_changes()
-        return await self._log.fetch_above(version)
-
-    async def _write_lost_changes(self) -> None:
-        """Write the changes that the log has lost, or a snapshot in their place.
-
-        Raises:
-            ConflictError: The log has another change of a version since.
-            StoreUnavailableError: Some may not have been written.
-        """
-        recent = self.replica.recent_rows()
-        lost = await self._log.find_lost(recent)
-        if recent and not lost:
-            return
-        self.counts["log_restores"] += 1
-        log_event(
-            "change_log_restored",
-            Level.WARNING,
-            version=self.replica.version,
-            lost=len(lost),
-        )
-        if len(lost) == len(recent):
-            # Earlier rows may be lost too, and are not in memory.
-            await self._log.save_snapshot(self.replica.snapshot())
-        for row in lost:
-            await self._log.append(row)
-
     def _version_changed(self, old: FleetConfig, new: FleetConfig) -> None:
         self.freshness.version_applied(new.version)
         self._holds.set_released(new.released_holds)
