Show what hosts believed in crocusward explain

An era of the store or a notice of a server decides requests whose ids its log line does not name. crocusward explain adds the lines on versions, eras, outages, data centres and the servers of the request from the 10 s before, of the hosts that it met.

--- a/src/crocusward/cli/_explain.py
+++ b/src/crocusward/cli/_explain.py
@@ -1,6 +1,8 @@
 """Prints what the logs of several hosts say of one request."""
 
+import re
 from collections.abc import Iterable
+from datetime import datetime, timedelta
 from pathlib import Path
 
 from cyclopts import App
@@ -9,6 +11,37 @@
 from ..model import Record
 from ._tool import Tool
 
+CONTEXT_TIME = timedelta(seconds=10)  # before the first line of the request
+# What a host believed while it decided.
+STATE_EVENTS = frozenset(
+    {
+        "data_centre_back",
+        "data_centre_out",
+        "desired_state_ignored",
+        "desired_state_taken",
+        "history_lost",
+        "neighbour_rows_merged",
+        "store_era_changed",
+        "store_lost",
+        "store_regained",
+    }
+)
+# What it knew of a server that the request names.
+BACKEND_EVENTS = frozenset(
+    {
+        "backend_entry_ignored",
+        "backend_leaving_learned",
+        "backend_limit_changed",
+        "backend_limit_ended",
+        "backend_limit_learned",
+        "backend_listed",
+        "backend_pause_learned",
+        "backend_removed",
+    }
+)
+_EVENT_PATTERN = re.compile(r" event=(\S+)")
+_BACKEND_PATTERN = re.compile(r" backend=([^\s\"]+)")
+
 
 class LogLine(Record):
     """One line about a request.
@@ -40,14 +73,69 @@
     return found
 
 
+def find_context(
+    request_lines: Iterable[LogLine], source: str, lines: Iterable[str]
+) -> list[LogLine]:
+    """Return what one log says of state and servers around a request.
+
+    Args:
+        request_lines: Lines of all logs that name the request.
+        source: Name of the log.
+        lines: Lines of the log.
+    """
+    request_lines = list(request_lines)
+    times = [time for item in request_lines if (time := _parse_time(item.time))]
+    if not times:
+        return []
+    begin, end = min(times) - CONTEXT_TIME, max(times)
+    backends = {
+        name
+        for item in request_lines
+        for name in _BACKEND_PATTERN.findall(f" {item.text}")
+    }
+    known = {item.text for item in request_lines}
+    found = []
+    for line in lines:
+        start = line.find("time=")
+        time_text, _, text = line[max(0, start) :].rstrip("\n").partition(" ")
+        event = _EVENT_PATTERN.search(f" {text}")
+        if start < 0 or event is None or text in known:
+            continue
+        is_backend_event = event[1] in BACKEND_EVENTS and bool(
+            backends.intersection(_BACKEND_PATTERN.findall(f" {text}"))
+        )
+        time_text = time_text.removeprefix("time=")
+        if event[1] in STATE_EVENTS or is_backend_event:
+            time = _parse_time(time_text)
+            if time is not None and begin <= time <= end:
+                found.append(LogLine(time_text, source, text))
+    return found
+
+
+def _parse_time(text: str) -> datetime | None:
+    try:
+        return datetime.fromisoformat(text)
+    except ValueError:
+        return None
+
+
 def explain(id: str, logs: Iterable[tuple[str, Iterable[str]]]) -> list[LogLine]:
-    """Return the lines of all logs about a request.
+    """Return the lines of all logs about a request, and what led to its decisions.
 
-    Lines are sorted by time; those of one log keep their order, since clocks of
-    different hosts differ but one log is written in order.
+    Only logs that name the request are searched for what their hosts knew. Lines are
+    sorted by time; those of one log keep their order, since clocks of different hosts
+    differ but one log is written in order.
     """
-    found = [item for name, lines in logs for item in find_lines(id, name, lines)]
-    return sorted(found, key=lambda item: item.time)
+    logs = [(name, list(lines)) for name, lines in logs]
+    found = [(name, find_lines(id, name, lines), lines) for name, lines in logs]
+    about = [item for _, items, _ in found for item in items]
+    context = [
+        item
+        for name, items, lines in found
+        if items
+        for item in find_context(about, name, lines)
+    ]
+    return sorted(about + context, key=lambda item: item.time)
 
 
 def add_explain_command(app: App, tool: Tool) -> None:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -63,6 +63,36 @@
         self.assertIn("end=unknown", text)
         self.assertIn("the server closed the connection", text)
 
+    def test_context_names_era_and_notices(self):
+        """Guards against a request whose cause is in lines without its id."""
+        second = "time=2026-12-05T08:00:0{}.000+00:00 level=info event={}"
+        lines = [
+            second.format(1, "store_era_changed table=op era=4 kept=1"),
+            second.format(2, "backend_pause_learned backend=b7 id=q6 for_s=2"),
+            second.format(2, "backend_pause_learned backend=b8 id=q6 for_s=2"),
+            second.format(3, "request_placed id=q7 backend=b7"),
+            second.format(4, "request_failed id=q7 outcome=no_backend"),
+            second.format(5, "store_lost table=op"),
+        ]
+        with tempfile.TemporaryDirectory() as name:
+            log, other = Path(name) / "host-1.log", Path(name) / "host-2.log"
+            log.write_text("\n".join(lines) + "\n", encoding="utf-8")
+            other.write_text(lines[0] + "\n", encoding="utf-8")
+            out = io.StringIO()
+            args = ["explain", "q7", str(log), str(other)]
+            status = main(args, out, io.StringIO(), {})
+        self.assertEqual(status, 0)
+        events = [line.split(" event=")[1] for line in out.getvalue().splitlines()]
+        self.assertEqual(
+            [text.split()[0] for text in events],
+            [
+                "store_era_changed",
+                "backend_pause_learned",
+                "request_placed",
+                "request_failed",
+            ],
+        )
+
     def test_unknown_id_is_an_error(self):
         """Guards against an empty answer that looks like a story."""
         with tempfile.TemporaryDirectory() as name:
