--- a/src/crocusward/entryd/_reader.py
+++ b/src/crocusward/entryd/_reader.py
@@ -31,6 +31,7 @@
 MAX_PAGE_BYTES = 8 << 20
 ROWS_PATH = "/neighbours/rows"
 ALL_CHANGES = "all"  # requests all rows and removals
+MAX_MERGE_TRIES = 3
 
 
 class TableFollower:
@@ -51,14 +52,12 @@
     Attributes:
         copy: Copy of the table.
         answered_s: Time of the last answer from the store, in monotonic seconds.
-        needs_merge: Whether the copy was read from the store alone. Neighbours may know
-            of changes that the store has lost.
     """
 
     __slots__ = (
         "copy",
         "answered_s",
-        "needs_merge",
+        "_merge_tries_left",
         "_timer",
         "_rng",
         "_client",
@@ -90,7 +89,7 @@
     ) -> None:
         self.copy = TableReplica(table)
         self.answered_s = -1e9
-        self.needs_merge = False
+        self._merge_tries_left = 0
         self._timer = timer
         self._rng = rng
         self._client = client
@@ -136,7 +135,8 @@
             return
         if copy.version < 0:
             page = await self._client.read_table(copy.name, READ_TIMEOUT_S)
-            self.needs_merge = copy.version < 0
+            if copy.version < 0:
+                self._merge_tries_left = MAX_MERGE_TRIES
         else:
             page = await self._read_changes(copy)
         self._record_answer()
@@ -231,6 +231,18 @@
         if copy.position != before:
             self._on_version()
 
+    @property
+    def needs_merge(self) -> bool:
+        """Whether the copy was read from the store alone.
+
+        Neighbours may know of changes that the store has lost.
+        """
+        return self._merge_tries_left > 0
+
+    def begin_merge(self) -> None:
+        """Count an attempt; neighbours that cannot answer it are asked a few times."""
+        self._merge_tries_left -= 1
+
     def should_merge(self, era: int) -> bool:
         """Return whether to merge all rows of a neighbour whose copy is of an era."""
         return self.needs_merge and era == self.copy.era
@@ -260,7 +272,7 @@
         if not is_merge:
             self.apply_page(page)
             return
-        self.needs_merge = False
+        self._merge_tries_left = 0
         changes = self.copy.merge(page, now_s)
         log_event(
             "neighbour_rows_merged",
@@ -346,6 +358,8 @@
     ) -> None:
         is_merge = follower.should_merge(source.positions[table].era)
         path = f"{ROWS_PATH}?{follower.pull_query(is_merge)}"
+        if is_merge:
+            follower.begin_merge()
         try:
             response = await self._pool.request(
                 source.address,
