Register again at a first restore from era zero

A host took era 0 for 'none yet' and did not write its row again when the first era that the store named was 0 and rose. The copies took that restore already, which a test shows; the stand-in tells a store that names 0 from one that names none.

--- a/src/crocusward/devtools/standins/_rows.py
+++ b/src/crocusward/devtools/standins/_rows.py
@@ -29,15 +29,15 @@
 
     Attributes:
         version: Version of the last transaction.
-        era: Number of the history, which rises with each restored copy; 0 if the store
-            names none.
+        era: Number of the history, which rises with each restored copy; None if the
+            store names none.
         refused: IP addresses that get 503, as if they were turned away.
     """
 
     def __init__(self, address: str = "127.0.0.1", port: int = 0) -> None:
         super().__init__(address, port)
         self.version = 0
-        self.era = 0
+        self.era: int | None = None
         self.refused: set[str] = set()
         self._rows: dict[tuple[str, str], tuple[bytes, int]] = {}
         self._history: deque[tuple[str, str, bytes | None, int]] = deque(
@@ -77,7 +77,8 @@
         self.forget_history()
         self._rows = dict(copy.rows)
         self.version = self._forgotten = copy.version
-        self.era += 1
+        if self.era is not None:
+            self.era += 1
 
     def rows(self, table: str) -> dict[str, bytes]:
         """Return the rows of a table."""
@@ -111,7 +112,7 @@
             self._refuse(conn, 404)
 
     def _era_header(self) -> bytes:
-        return b"Store-Era: %d\r\n" % self.era if self.era else b""
+        return b"Store-Era: %d\r\n" % self.era if self.era is not None else b""
 
     def _refuse(self, conn: Connection, status: int) -> None:
         conn.respond(status, b"{}", self._era_header())
--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -97,7 +97,7 @@
         self._stop = asyncio.Event()
         self._started_s = self.timer.now()
         self._is_stopping = False
-        self._era = NO_ERA
+        self._era: int | None = None  # of the store, once a table was read
         self._tasks: list[asyncio.Task[None]] = []
         self.sampler = EventSampler(self.timer.now, MAX_LOG_LINES_PER_S)
         self.invariants = Invariants(self._log_violation)
@@ -315,9 +315,9 @@
     def _check_era(self) -> None:
         """Write again what this host wrote to the store, once the store has lost it."""
         era = max(item.copy.era for item in self.followers.values())
-        if era > self._era and self._era != NO_ERA:
+        if self._era is not None and era > self._era:
             self._start_task(self._register_again())
-        self._era = max(era, self._era)
+        self._era = max(era, self._era or NO_ERA)
 
     # Start.
 
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -205,6 +205,20 @@
             follower.apply_deferred()
         self.assertEqual(set(self.host.servers), {"i-1", "i-2", "i-3"})
 
+    async def test_first_restore_of_a_store_that_names_era_zero(self):
+        """Guards against a first era that counts as none."""
+        self.host.cut_off()
+        self.store.era = 0
+        self.host = await self.start_host()
+        copy = self.store.copy()
+        self.move_versions(50)
+        self.put_state(2)
+        await self.settle()
+        self.store.restore(copy)
+        self.put_state(3)
+        await self.settle()
+        self.assertEqual(self.host.versions, [1, 2, 3])
+
     async def test_era_that_rises_twice(self):
         """Guards against a second restore that is taken for a part of the first."""
         copy = self.store.copy()
@@ -281,7 +295,7 @@
         self.move_versions(50)
         await self.settle()
         self.store.restore(copy)
-        self.store.era = 0
+        self.store.era = None
         before = sum(self.store.counts.values())
         await self.settle()
         await self.settle()
