Count only answers that were passed on as a notice in the fault soak

Trace: the first answer of i-5 with Server-Leaving to host-west-a-2, of q476, was cut by the server after its head (mode cut; attempt_failed, 'the server closed the connection'), so the daemon passed nothing on. The next whole answer, of q754, told it, and nothing followed. The promise counts from an answer that was passed on; so does the check now, from the moment at which the caller had it. Tested both ways.

--- a/src/crocusward/devtools/fault_soak/_checks.py
+++ b/src/crocusward/devtools/fault_soak/_checks.py
@@ -237,10 +237,16 @@
         return found
 
     def _told_leaving(self) -> list[str]:
-        """Return requests to a server that had told the daemon that it leaves."""
+        """Return requests to a server that had told the daemon that it leaves.
+
+        An answer that was cut or lost on the way tells nothing; only those count that
+        the daemon has passed on.
+        """
         found = []
         asked = {item.id: item for item in self.asked}
-        told = self.notices.find_told(self._daemon_of())
+        told = self.notices.find_told(
+            {item.id: item for item in self.asked if 200 <= item.status < 300}
+        )
         for run in self.runs:
             item = asked.get(run.id)
             told_s = told.get((run.server, item.daemon)) if item is not None else None
--- a/src/crocusward/devtools/fault_soak/_notices.py
+++ b/src/crocusward/devtools/fault_soak/_notices.py
@@ -1,6 +1,8 @@
 """What servers of the soak told each daemon, and what arrived from it afterwards."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+
+from ._callers import Asked
 
 DRAIN_S = 2.0
 PAUSE_KNOWN_S = 0.5  # from an answer with Retry-After until it binds
@@ -36,13 +38,18 @@
         self.pauses: list[Pause] = []
         self.arrivals: list[tuple[str, str, float]] = []
 
-    def find_told(
-        self, daemon_of: Callable[[str], str]
-    ) -> dict[tuple[str, str], float]:
-        """Return when each daemon was first told that a server leaves."""
+    def find_told(self, answered: Mapping[str, Asked]) -> dict[tuple[str, str], float]:
+        """Return when each daemon first passed on that a server leaves.
+
+        Args:
+            answered: Requests whose answers were passed on, by id.
+        """
         told_s: dict[tuple[str, str], float] = {}
-        for server, id, at_s in self.leaving:
-            told_s.setdefault((server, daemon_of(id)), at_s)
+        for server, id, _ in self.leaving:
+            item = answered.get(id)
+            if item is not None:
+                key = (server, item.daemon)
+                told_s[key] = min(told_s.get(key, item.ended_s), item.ended_s)
         return told_s
 
     def find_broken_pauses(
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -122,10 +122,14 @@
         self.assertEqual(self.promises.broken(), [])
 
     def test_work_for_a_server_that_said_it_leaves(self):
-        self.promises.asked = [asked(sent_s=4.0)]
-        self.promises.runs = [run(at_s=4.1)]
-        self.promises.notices.leaving = [("i-1", "q1", 1.0)]
+        told = asked(id="q0")
+        self.promises.asked = [told, asked(sent_s=4.0)]
+        self.promises.runs = [run(id="q0"), run(at_s=4.1)]
+        self.promises.notices.leaving = [("i-1", "q0", 1.0), ("i-1", "q1", 4.1)]
         self.assert_broken("told")
+        told.status = 502  # the answer was cut
+        self.assertEqual(self.promises.broken(), [])
+        told.status = 200
         self.promises.lifetimes_s = {"h1": [0.0, 3.0]}
         self.assertEqual(self.promises.broken(), [])
 
