--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -77,8 +77,6 @@
 
 
 class RetryAfterTest(NoticeTestCase):
-    REFUSAL = SHED
-
     async def test_refusing_server_gets_nothing_for_the_time_it_names(self):
         """Guards against requests that a server has asked not to get."""
         refusal = with_header(SHED, b"Retry-After: 2\r\n")
