Reproduce late changes over silent connections, without a network

Whole daemons run in virtual time over simulated connections, datagrams and the stand-in of the store. The test lets the open connections of a share of 48 hosts fall silent and asks whether a change of the desired state is in force everywhere within its 2 s. EntryProcess takes its random generator, and start() opens what run() serves.

--- a/src/crocusward/devtools/entry_soak/__init__.py
+++ b/src/crocusward/devtools/entry_soak/__init__.py
@@ -3,6 +3,7 @@
 from ._fleet import LimitedFleet, make_servers, play_faults
 from ._restores import RestoredStoreRun
 from ._servers import ALLOWED_EXTRA, ALLOWED_FACTOR, WINDOW_S, ColdServer, LimitedServer
+from ._whole_hosts import WholeFleet
 
 __all__ = [
     "ALLOWED_EXTRA",
@@ -12,6 +13,7 @@
     "ColdServer",
     "LimitedFleet",
     "LimitedServer",
+    "WholeFleet",
     "make_servers",
     "play_faults",
 ]
--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -84,15 +84,22 @@
         facts: Settings of this host.
         path: Settings file, read again at a change or a signal.
         logs: Output of log events.
+        rng: Source of jitter and random choices.
     """
 
-    def __init__(self, facts: HostFacts, path: Path, logs: LogPipe) -> None:
+    def __init__(
+        self,
+        facts: HostFacts,
+        path: Path,
+        logs: LogPipe,
+        rng: random.Random | None = None,
+    ) -> None:
         loop = asyncio.get_running_loop()
         self.facts = facts
         self._last_read_facts = facts
         self._path = path
         self._logs = logs
-        self._rng = random.Random()
+        self._rng = rng or random.Random()
         self.timer = LoopTimer(loop, self._rng)
         self._stop = asyncio.Event()
         self._started_s = self.timer.now()
@@ -327,13 +334,18 @@
         loop.add_signal_handler(signal.SIGTERM, self._stop.set)
         loop.add_signal_handler(signal.SIGINT, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        await self._start()
+        await self.start()
         gc.collect()
         gc.freeze()
         await self._stop.wait()
         await self._shut_down()
 
-    async def _start(self) -> None:
+    async def start(self) -> None:
+        """Open the listeners and begin to follow the store and the neighbours.
+
+        Raises:
+            OSError: An address cannot be bound.
+        """
         facts = self.facts
         self._logs.run(self.timer)
         log_event(
