Close idle connections to an address after one of them fell silent

Callers and readers of the store saw one time limit after another: kept connections to an address fall silent together, and each was trusted with a whole time limit in turn. An exchange on a kept connection in which no byte arrives in time now closes the idle connections to that address that have carried no answer since it was sent. Those that answered meanwhile are kept, so that a slow answer costs no new connections.

--- a/src/crocusward/upstream/_connection.py
+++ b/src/crocusward/upstream/_connection.py
@@ -18,6 +18,7 @@
 MAX_SKIPPED_ANSWERS = 8  # mismatched answers in one exchange
 FRAMING_FACTOR = 8  # framing bytes for each body byte, in chunks of one byte
 PEEK_AFTER_IDLE_S = 0.2
+SILENT = "silent"  # code of the error of an exchange in which no byte arrived in time
 _NO_BODY_STATUSES = frozenset({204, 304})
 
 Headers = list[tuple[bytes, bytes]]
@@ -100,6 +101,7 @@
         "_body",
         "_body_bytes",
         "_non_body_bytes",
+        "_has_received",
         "_has_head",
         "_is_complete",
         "_has_length",
@@ -143,6 +145,7 @@
         self._matches: MatchRequest | None = None
         self._has_named_answer = False
         self._allow_close_delimited = False
+        self._has_received = False
         self._reset_answer()
 
     def _reset_answer(self) -> None:
@@ -217,6 +220,7 @@
         self._allow_close_delimited = allow_close_delimited
         self._is_head_request = is_head_request
         self._limit_bytes = limit_bytes
+        self._has_received = False
         self._reset_answer()
         self._set_deadline(timeout_s)
         try:
@@ -255,6 +259,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse the bytes read into the buffer."""
+        self._has_received = True
         data = self._buffer[:nbytes]
         if self._pending_answer is None or self._is_complete:
             self._fail("received data without a request in progress")
@@ -404,14 +409,15 @@
         if left_s > 0.0:
             self._schedule_timeout(left_s)
         else:
-            self._fail("no complete answer in time")
+            code = None if self._has_received else SILENT
+            self._fail("no complete answer in time", code)
 
-    def _fail(self, reason: str) -> None:
+    def _fail(self, reason: str, code: str | None = None) -> None:
         if self._transport is not None:
             self._transport.abort()
-        self._close(reason)
+        self._close(reason, code)
 
-    def _close(self, reason: str) -> None:
+    def _close(self, reason: str, code: str | None = None) -> None:
         if self.is_closed:
             return
         self.is_closed = True
@@ -422,4 +428,4 @@
             self.on_closed(self)
         answer = self._pending_answer
         if answer is not None and not answer.done():
-            answer.set_exception(ExchangeLostError(reason))
+            answer.set_exception(ExchangeLostError(reason, code=code))
--- a/src/crocusward/upstream/_pool.py
+++ b/src/crocusward/upstream/_pool.py
@@ -6,7 +6,7 @@
 
 from ..errors import ExchangeLostError, NotSentError
 from ..timing import Subscription, TimerService
-from ._connection import HttpAnswer, HttpConnection, MatchRequest
+from ._connection import SILENT, HttpAnswer, HttpConnection, MatchRequest
 from ._encode import encode_request
 from ._memory import AnswerMemoryBudget
 
@@ -38,13 +38,20 @@
         idle_s: Idle time after which a connection is closed, in seconds.
         connect_timeout_s: Time limit for opening a connection, in seconds.
         memory_budget: Limits the total size of incomplete answers, or None.
+        reuse: Whether connections are kept for further requests.
 
     Attributes:
         connections: Default maximum number of connections to one address.
+        silent_connections: Number of kept connections on which no byte of an answer
+            arrived in time.
+        distrusted_connections: Number of idle connections closed after that.
     """
 
     __slots__ = (
         "connections",
+        "silent_connections",
+        "distrusted_connections",
+        "_reuse",
         "_memory_budget",
         "_timer",
         "_idle_s",
@@ -63,8 +70,12 @@
         idle_s: float = DEFAULT_IDLE_TIMEOUT_S,
         connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S,
         memory_budget: AnswerMemoryBudget | None = None,
+        reuse: bool = True,
     ) -> None:
         self.connections = connections
+        self.silent_connections = 0
+        self.distrusted_connections = 0
+        self._reuse = reuse
         self._memory_budget = memory_budget
         self._timer = timer
         self._idle_s = idle_s
@@ -123,6 +134,7 @@
             started_s = self._timer.now()
             conn = await self._connect(endpoint, address, port, timeout_s)
             timeout_s -= self._timer.now() - started_s
+        sent_s = self._timer.now()
         try:
             if timeout_s <= 0.0:
                 raise NotSentError("no time left to send the request", code="timeout")
@@ -143,6 +155,8 @@
             if isinstance(exc, ExchangeLostError):
                 exc.reused = conn.exchange_count > 1
                 exc.idle_s = conn.idle_before_s
+                if exc.reused and exc.code == SILENT:
+                    self._distrust_idle(endpoint, sent_s)
             raise
         self._release(endpoint, conn, answer)
         return answer
@@ -210,6 +224,7 @@
             return
         if (
             self._is_closed
+            or not self._reuse
             or endpoint.open_count > self._limit(endpoint)
             or not conn.can_be_reused()
         ):
@@ -219,6 +234,18 @@
         conn.idle_limit_s = _parse_keep_alive_s(answer) or self._idle_s
         endpoint.idle.append(conn)
 
+    def _distrust_idle(self, endpoint: _Endpoint, since_s: float) -> None:
+        """Close the connections to an address that have carried no answer since a time.
+
+        One of them fell silent without a reset, and the same cause may have silenced
+        the others. Trying each would cost one time limit after another.
+        """
+        self.silent_connections += 1
+        for conn in list(endpoint.idle):
+            if conn.idle_since_s <= since_s:
+                self.distrusted_connections += 1
+                conn.abort()
+
     async def _connect(
         self, endpoint: _Endpoint, address: str, port: int, timeout_s: float
     ) -> HttpConnection:
