Pull rows from neighbours over new connections, and ask a second one soon

Cause: a pull was written to a connection that was good when last used, and waited for all of PULL_TIMEOUT_S once it had fallen silent; each level of the fan-out paid that, and again for each further dead connection. Now a pull opens a connection (a round trip inside the data centre; a host pulls once for each change), and asks another neighbour with the rows, or the same one again, after 0.1 s, then 0.2 s; the first page wins. A silent connection or a stopped neighbour delays a level by 0.1 s. PULL_TIMEOUT_S is unchanged, so that large pages over slow links still arrive. Its guard on silenced connections is replaced: there are no kept ones to silence any more, so it now demands that rows were pulled.

--- a/src/crocusward/cli/_explain.py
+++ b/src/crocusward/cli/_explain.py
@@ -21,9 +21,12 @@
         "desired_state_taken",
         "history_lost",
         "neighbour_rows_merged",
+        "neighbour_rows_missed",
+        "neighbour_rows_taken",
         "store_era_changed",
         "store_lost",
         "store_regained",
+        "store_rows_read",
     }
 )
 # What it knew of a server that the request names.
--- a/src/crocusward/devtools/entry_soak/_network.py
+++ b/src/crocusward/devtools/entry_soak/_network.py
@@ -84,7 +84,7 @@
     def receive(self, data):
         if isinstance(self.protocol, asyncio.BufferedProtocol):
             while data and not self._is_closing:
-                buffer = self.protocol.get_buffer(len(data))
+                buffer = cast(memoryview, self.protocol.get_buffer(len(data)))
                 part, data = data[: len(buffer)], data[len(buffer) :]
                 buffer[: len(part)] = part
                 self.protocol.buffer_updated(len(part))
@@ -156,6 +156,7 @@
 
     Attributes:
         connections: Both ends of all open connections.
+        opened_count: Connections opened so far.
         listeners: Protocol factories by address and port.
         data_centre_by_ip: Data centres of the hosts, for the delays.
     """
@@ -169,6 +170,7 @@
         self.listeners: dict[tuple[str, int], Callable[[], asyncio.BaseProtocol]] = {}
         self.datagram_sockets: dict[tuple[str, int], SimulatedDatagrams] = {}
         self.data_centre_by_ip: dict[str, str] = {}
+        self.opened_count = 0
         self._next_port = FIRST_FREE_PORT
 
     def delay_s(self, one, other):
@@ -210,6 +212,7 @@
         near.peer, far.peer = far, near
         near.protocol, far.protocol = make_protocol(), factory()
         self.connections |= {near, far}
+        self.opened_count += 1
         far.protocol.connection_made(far)
         near.protocol.connection_made(near)
         return near.protocol
--- a/src/crocusward/entryd/_control.py
+++ b/src/crocusward/entryd/_control.py
@@ -6,7 +6,7 @@
 from ..platform import READY_PATH
 from ..relay import CallerAnswer, CallerRequest, make_refusal
 from ._exposition import format_metrics
-from ._reader import ROWS_PATH
+from ._row_replicator import ROWS_PATH
 
 if TYPE_CHECKING:
     from ._process import EntryProcess
--- a/src/crocusward/entryd/_exposition.py
+++ b/src/crocusward/entryd/_exposition.py
@@ -51,9 +51,22 @@
     lines.append(f"# TYPE {PREFIX}backend_notices_total counter")
     for event, count in process.notices.events.items():
         lines.append(f'{PREFIX}backend_notices_total{{event="{event}"}} {count}')
+    _add_connections(lines, process)
     return ("\n".join(lines) + "\n").encode("utf-8")
 
 
+def _add_connections(lines: list[str], process: "EntryProcess") -> None:
+    lines.append(f"# TYPE {PREFIX}row_pulls_total counter")
+    for outcome, count in process.row_replicator.outcomes.items():
+        lines.append(f'{PREFIX}row_pulls_total{{outcome="{outcome}"}} {count}')
+    pools = {"store": process.store_pool, "backends": process.backend_pool}
+    for metric in ("silent_connections", "distrusted_connections"):
+        lines.append(f"# TYPE {PREFIX}{metric}_total counter")
+        for to, pool in pools.items():
+            count = getattr(pool, metric)
+            lines.append(f'{PREFIX}{metric}_total{{to="{to}"}} {count}')
+
+
 def _add_requests(lines: list[str], process: "EntryProcess") -> None:
     lines.append(f"# TYPE {PREFIX}requests_total counter")
     for (route, outcome), count in process.request_log.outcomes.items():
--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -54,7 +54,8 @@
 from ..upstream import AnswerMemoryBudget, HttpPool
 from ._control import ControlHandler
 from ._hub import NeighbourHub
-from ._reader import READ_TIMEOUT_S, RowReplicator, TableFollower
+from ._reader import READ_TIMEOUT_S, TableFollower
+from ._row_replicator import RowReplicator
 
 TICK_PERIOD_S = 0.1
 SETTINGS_CHECK_PERIOD_S = 1.0  # detects changes of the file without a signal
@@ -64,6 +65,7 @@
 BACKEND_IDLE_TIMEOUT_S = 8.0  # servers that state none close after about 10 s
 BACKEND_CONNECT_TIMEOUT_S = 0.3  # the slowest path has 12 ms of one-way delay
 MAX_STORE_CONNECTIONS = 8
+MAX_PULL_CONNECTIONS = 8  # to one neighbour
 # At the first start of the fleet, hosts discover each other for the first of these
 # times; the others of a data centre wait for the first one's rows up to the second.
 FIRST_START_DISCOVERY_S = 1.5
@@ -119,8 +121,8 @@
         self._read_times = ReadTimes(bound_s)
         self.neighbours = NeighbourTable(facts.name, self._read_times)
         self.other_readers = NeighbourTable(facts.name, self._read_times)
-        self._store_pool = HttpPool(self.timer, connections=MAX_STORE_CONNECTIONS)
-        self._backend_pool = HttpPool(
+        self.store_pool = HttpPool(self.timer, connections=MAX_STORE_CONNECTIONS)
+        self.backend_pool = HttpPool(
             self.timer,
             connections=MAX_BACKEND_CONNECTIONS,
             idle_s=BACKEND_IDLE_TIMEOUT_S,
@@ -129,7 +131,7 @@
                 int(facts.limits.memory_mb * BYTES_PER_MB * ANSWER_MEMORY_SHARE)
             ),
         )
-        self.store = RowClient(self._store_pool, facts.store)
+        self.store = RowClient(self.store_pool, facts.store)
         self.followers = {name: self._make_follower(name) for name in REPLICATED_TABLES}
         self.rate_limits = RateLimitTracker(boot_time_s, self.sampler)
         self.notices = NoticeTracker(
@@ -160,7 +162,7 @@
         self.retry_budget = FleetRetryBudget(
             bounds.retry_ratio, bounds.retry_reserve, bounds.retry_window_s
         )
-        backend_client = BackendClient(self._backend_pool)
+        backend_client = BackendClient(self.backend_pool)
         self.selector = BackendSelector(
             self.directory,
             self.load_table,
@@ -221,7 +223,7 @@
             self.timer,
             self.followers,
             (self.neighbours, self.other_readers),
-            HttpPool(self.timer, connections=MAX_STORE_CONNECTIONS),
+            HttpPool(self.timer, connections=MAX_PULL_CONNECTIONS, reuse=False),
             facts.peer_ports[0],
             self.sampler,
         )
--- a/src/crocusward/entryd/_reader.py
+++ b/src/crocusward/entryd/_reader.py
@@ -1,20 +1,15 @@
-"""Copies of the store's tables, replicated from the store or from a neighbour."""
+"""Copies of the store's tables, read from the store or taken from a neighbour."""
 
 import asyncio
 import random
-import zlib
-from collections.abc import Callable, Sequence
-from functools import partial
+from collections.abc import Callable
 
-import cbor2
-
-from ..desired import NO_ERA, RowChange, TablePage, TablePosition, TableReplica
+from ..desired import NO_ERA, RowChange, TablePage, TableReplica
 from ..errors import CrocusError, StoreUnavailableError
-from ..logs import EventSampler, Level, log_event
-from ..neighbours import Neighbour, NeighbourTable, ReadTimes
+from ..logs import Level, log_event
+from ..neighbours import ReadTimes
 from ..platform import HistoryLostError, RowClient
 from ..timing import TimerService
-from ..upstream import HttpPool
 
 READ_TIMEOUT_S = 1.5
 ROLE_CHECK_PERIOD_S = 0.1
@@ -26,10 +21,6 @@
 REMOVAL_HOLD_S = 2.3
 # Old rows of a restored table are written again, or have expired, after about 4.5 s.
 RESTORED_HOLD_S = 6.0
-PULL_TIMEOUT_S = 1.0
-COMPRESSION_LEVEL = 1  # the fastest; enough for the repeated names in routes
-MAX_PAGE_BYTES = 8 << 20
-ROWS_PATH = "/neighbours/rows"
 ALL_CHANGES = "all"  # requests all rows and removals
 MAX_MERGE_TRIES = 3
 
@@ -140,6 +131,14 @@
         else:
             page = await self._read_changes(copy)
         self._record_answer()
+        if page.position != copy.position:
+            log_event(
+                "store_rows_read",
+                table=copy.name,
+                era=page.era,
+                version=page.version,
+                rows=len(page.changes),
+            )
         self.apply_page(page)
         self._has_changed = bool(page.changes) and not page.complete
 
@@ -288,143 +287,3 @@
         """Apply what was deferred and is due."""
         for change in self.copy.apply_deferred(self._timer.now()):
             self._on_change(self.copy.name, change)
-
-
-class RowReplicator:
-    """Replicates table rows between this host and its neighbours.
-
-    Args:
-        timer: Source of time.
-        followers: Followers by table.
-        neighbour_tables: Hosts that may have newer rows, in order of preference.
-        pool: Connections to neighbours.
-        port: Port on which daemons serve each other.
-        sampler: Logs failed pulls.
-    """
-
-    __slots__ = (
-        "_timer",
-        "_followers",
-        "_neighbour_tables",
-        "_pool",
-        "_port",
-        "_sampler",
-        "_pulls",
-    )
-
-    def __init__(
-        self,
-        timer: TimerService,
-        followers: dict[str, TableFollower],
-        neighbour_tables: Sequence[NeighbourTable],
-        pool: HttpPool,
-        port: int,
-        sampler: EventSampler,
-    ) -> None:
-        self._timer = timer
-        self._followers = followers
-        self._neighbour_tables = neighbour_tables
-        self._pool = pool
-        self._port = port
-        self._sampler = sampler
-        self._pulls: dict[str, asyncio.Task[None]] = {}
-
-    def pull_newer_rows(self) -> None:
-        """Start a pull for each table of which a neighbour has a newer version."""
-        now_s = self._timer.now()
-        for table, follower in self._followers.items():
-            if table in self._pulls:
-                continue
-            position = follower.copy.position
-            if follower.needs_merge:
-                position = TablePosition(position.era)  # any row of this era helps
-            sources = [
-                neighbours.find_source(table, position, now_s)
-                for neighbours in self._neighbour_tables
-            ]
-            source = next((item for item in sources if item is not None), None)
-            if source is not None:
-                task = asyncio.get_running_loop().create_task(
-                    self._pull(table, follower, source)
-                )
-                self._pulls[table] = task
-                task.add_done_callback(partial(self._on_pulled, table))
-
-    def _on_pulled(self, table: str, task: "asyncio.Task[None]") -> None:
-        del self._pulls[table]
-
-    async def _pull(
-        self, table: str, follower: TableFollower, source: Neighbour
-    ) -> None:
-        is_merge = follower.should_merge(source.positions[table].era)
-        path = f"{ROWS_PATH}?{follower.pull_query(is_merge)}"
-        if is_merge:
-            follower.begin_merge()
-        try:
-            response = await self._pool.request(
-                source.address,
-                self._port,
-                "GET",
-                path,
-                timeout_s=PULL_TIMEOUT_S,
-                limit_bytes=MAX_PAGE_BYTES,
-            )
-            page, hold_s = decode_page(response.body)
-        except (CrocusError, ValueError) as exc:
-            self._sampler.log(
-                "neighbour_rows_missed",
-                Level.WARNING,
-                table=table,
-                neighbour=source.host,
-                reason=str(exc),
-            )
-            return
-        follower.apply_neighbour_page(page, hold_s, is_merge)
-
-    def encode_rows_after(self, query: str) -> bytes | None:
-        """Return the page that a neighbour requests, or None for a bad query."""
-        table, _, after = query.partition("&")
-        follower = self._followers.get(table)
-        if follower is None or follower.copy.version < 0:
-            return None
-        if after == ALL_CHANGES:
-            page = follower.copy.get_all_changes()
-        else:
-            version, _, era = after.partition("&")
-            if not version.lstrip("-").isdigit() or not (era or "0").isdigit():
-                return None
-            position = TablePosition(int(era or NO_ERA), int(version))
-            page = follower.copy.get_changes_since(position)
-        return encode_page(page, follower.copy.deferral_left_s(self._timer.now()))
-
-
-def encode_page(page: TablePage, hold_s: float) -> bytes:
-    """Return the compressed form of a page and its remaining hold of removals.
-
-    Compression reduces a desired state with many routes to a fraction. The reader
-    sends it to several neighbours, possibly over a link of a few Mbit/s.
-    """
-    rows = [[item.key, item.version, item.value] for item in page.changes]
-    fields: list[object] = [page.version, page.complete, hold_s, rows]
-    if page.era != NO_ERA:
-        fields.append(page.era)
-    data = cbor2.dumps(fields)
-    return zlib.compress(data, COMPRESSION_LEVEL)
-
-
-def decode_page(data: bytes) -> tuple[TablePage, float]:
-    """Decode the result of ``encode_page``.
-
-    Raises:
-        ValueError: The data is malformed.
-    """
-    try:
-        decompressor = zlib.decompressobj()
-        plain = decompressor.decompress(data, MAX_PAGE_BYTES)
-        version, complete, hold_s, rows, *rest = cbor2.loads(plain)
-        era = int(rest[0]) if rest else NO_ERA
-        changes = [RowChange(str(key), value, int(ver)) for key, ver, value in rows]
-        page = TablePage(int(version), changes, complete=bool(complete), era=era)
-        return page, float(hold_s)
-    except (zlib.error, cbor2.CBORError, ValueError, TypeError) as exc:
-        raise ValueError(f"malformed page: {type(exc).__name__}") from exc
--- a/src/crocusward/neighbours/_table.py
+++ b/src/crocusward/neighbours/_table.py
@@ -178,14 +178,13 @@
                 self._current_s = max(self._current_s, neighbour.store_answered_s)
         return self._current_s
 
-    def find_source(
+    def list_sources(
         self, table: str, position: TablePosition, now_s: float
-    ) -> Neighbour | None:
-        """Return the neighbour with the newest rows after ``position``, or None."""
-        source = None
-        for neighbour in self.list_live(now_s):
-            newest = neighbour.positions.get(table, NO_POSITION)
-            if newest > position:
-                position = newest
-                source = neighbour
-        return source
+    ) -> list[Neighbour]:
+        """Return the live neighbours with rows after ``position``, newest first."""
+        found = [
+            neighbour
+            for neighbour in self.list_live(now_s)
+            if neighbour.positions.get(table, NO_POSITION) > position
+        ]
+        return sorted(found, key=lambda item: item.positions[table], reverse=True)
--- a/tests/test_entryd.py
+++ b/tests/test_entryd.py
@@ -17,10 +17,9 @@
 
 from crocusward.desired import RowChange, TablePage
 from crocusward.entryd import main
-from crocusward.entryd._reader import (
+from crocusward.entryd._reader import REMOVAL_HOLD_S, TableFollower
+from crocusward.entryd._row_replicator import (
     PULL_TIMEOUT_S,
-    REMOVAL_HOLD_S,
-    TableFollower,
     decode_page,
     encode_page,
 )
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -177,8 +177,8 @@
         table = NeighbourTable("h1", ReadTimes(2.0))
         table.apply_report(report("h2", positions={"op": at(3)}), "a", 0.0)
         table.apply_report(report("h3", positions={"op": at(5)}), "b", 0.0)
-        self.assertEqual(table.find_source("op", at(4), 0.1).host, "h3")
-        self.assertIsNone(table.find_source("op", at(5), 0.1))
+        self.assertEqual(table.list_sources("op", at(4), 0.1)[0].host, "h3")
+        self.assertEqual(table.list_sources("op", at(5), 0.1), [])
 
     def test_rows_of_a_later_era_are_newer(self):
         """Guards against a source whose versions are of a history that was lost."""
@@ -186,8 +186,8 @@
         table.apply_report(report("h2", positions={"op": at(3, era=2)}), "a", 0.0)
         self.assertLess(table.update_current_s({"op": at(50, era=1)}, 0.1), -1e6)
         table.apply_report(report("h3", positions={"op": at(50, era=1)}), "b", 0.0)
-        self.assertEqual(table.find_source("op", at(50, era=1), 0.1).host, "h2")
-        self.assertIsNone(table.find_source("op", at(3, era=2), 0.1))
+        self.assertEqual(table.list_sources("op", at(50, era=1), 0.1)[0].host, "h2")
+        self.assertEqual(table.list_sources("op", at(3, era=2), 0.1), [])
 
 
 class EndpointTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -7,11 +7,8 @@
 
 from crocusward.desired import Directory
 from crocusward.devtools.standins import RowsStandin
-from crocusward.entryd._reader import (
-    RowReplicator,
-    TableFollower,
-    decode_page,
-)
+from crocusward.entryd._reader import TableFollower
+from crocusward.entryd._row_replicator import RowReplicator, decode_page
 from crocusward.logs import EventSampler
 from crocusward.neighbours import ReadTimes
 from crocusward.platform import (
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -20,11 +20,25 @@
         for seed, share in ((1, 0.7), (2, 0.4), (3, 1.0)):
             with self.subTest(seed=seed, share=share):
                 fleet = self.make_fleet(seed, 24)
-                self.assertGreater(fleet.silence_inner(share), 20)
+                fleet.silence_inner(share)
                 fleet.network.advance(4.5)
                 version = fleet.write_state()
+                opened = fleet.network.opened_count
                 fleet.network.advance(BOUND_S)
                 self.assertEqual(fleet.late_hosts(version), [])
+                self.assertGreater(fleet.network.opened_count, opened + 40)
+
+    def test_change_is_in_force_everywhere_while_connections_fall_silent(self):
+        """Guards against a pull that waits for one connection only."""
+        fleet = self.make_fleet(4, 24)
+        version = fleet.write_state()
+        silenced = 0
+        for _ in range(20):  # each new connection lasts about 1 ms
+            fleet.network.advance(0.0006)
+            silenced += fleet.silence_inner(0.5)
+        self.assertGreater(silenced, 5)
+        fleet.network.advance(BOUND_S - 20 * 0.0006)
+        self.assertEqual(fleet.late_hosts(version), [])
 
 
 if __name__ == "__main__":
