--- a/src/crocusward/entryd/_reader.py
+++ b/src/crocusward/entryd/_reader.py
@@ -131,7 +131,7 @@
         else:
             page = await self._read_changes(copy)
         self._record_answer()
-        if page.position != copy.position:
+        if page.changes and page.position != copy.position:
             log_event(
                 "store_rows_read",
                 table=copy.name,
--- a/src/crocusward/entryd/_row_replicator.py
+++ b/src/crocusward/entryd/_row_replicator.py
@@ -150,16 +150,17 @@
                 task.cancel()
         self.outcomes["taken"] += 1
         follower.apply_neighbour_page(pulled.page, pulled.hold_s, pulled.is_merge)
-        self._sampler.log(
-            "neighbour_rows_taken",
-            table=table,
-            neighbour=pulled.source.host,
-            era=pulled.page.era,
-            version=pulled.page.version,
-            rows=len(pulled.page.changes),
-            took_s=self._timer.now() - began_s,
-            attempts=len(asked),
-        )
+        if pulled.page.changes:
+            self._sampler.log(
+                "neighbour_rows_taken",
+                table=table,
+                neighbour=pulled.source.host,
+                era=pulled.page.era,
+                version=pulled.page.version,
+                rows=len(pulled.page.changes),
+                took_s=self._timer.now() - began_s,
+                attempts=len(asked),
+            )
 
     def _start_attempt(
         self, table: str, follower: TableFollower, source: Neighbour
