Reproduce requests that crash servers, without a network

The fleet of whole daemons gets backend servers (the ones of the fault soak) and callers; a path can be deadly: its request ends the server that runs it, which comes back after 3 s. The promises learn the rule: after the third crash and 3 s at most three more runs.

--- a/src/crocusward/devtools/entry_soak/_whole_hosts.py
+++ b/src/crocusward/devtools/entry_soak/_whole_hosts.py
@@ -4,13 +4,20 @@
 import io
 import json
 import random
+from collections.abc import Coroutine
 from functools import partial
 from pathlib import Path
+from typing import Any
 from unittest import mock
 
 from ...desired import FleetBounds, HostFacts, HostLimits
 from ...entryd._process import EntryProcess
 from ...logs import LogPipe
+from ...platform import REQUEST_ID_HEADER
+from ...relay import CallerRequest
+from ..fault_soak._callers import Asked
+from ..fault_soak._checks import Promises
+from ..fault_soak._targets import Target
 from ..standins import RowsStandin
 from ._network import SimulatedNetwork, SimulatedPool
 
@@ -21,6 +28,8 @@
 PEER_PORTS = (7000, 7015)
 START_S = 6.0  # until all daemons know each other
 BOUND_S = 2.0  # for changes of the desired state
+DOWN_S = 3.0  # of a server that crashed
+TIME_LIMIT_S = 1.5  # of a caller
 BOUNDS = FleetBounds(
     drain_s=2.0,
     stop_grace_s=6.0,
@@ -41,6 +50,9 @@
         network: The network and event loop.
         store: The store.
         hosts: Running daemons by name.
+        servers: Running backend servers by id.
+        deadly: Paths whose requests crash the servers that run them.
+        promises: What servers ran and callers got.
     """
 
     def __init__(self, seed: int, hosts_per_data_centre: int, loss: float = 0.0):
@@ -48,7 +60,12 @@
         self.rng = random.Random(seed)
         self.store = RowsStandin(STORE_IP)
         self.hosts: dict[str, EntryProcess] = {}
+        self.servers: dict[str, Target] = {}
+        self.deadly: set[str] = set()
+        self.promises = Promises()
         self._version = 0
+        self._number = 0
+        self._tasks: set[asyncio.Task[None]] = set()
         asyncio.set_event_loop(self.network)
         self.network.run_until_complete(self.store.start())
         self.network.data_centre_by_ip[STORE_IP] = "east-a"
@@ -132,6 +149,107 @@
         self.store.put("op", "config", json.dumps(document).encode())
         return self._version
 
+    # Backend servers.
+
+    async def add_server(self, data_centre: str) -> Target:
+        """Start a backend server and register it."""
+        self._number += 1
+        id = f"i-{self._number}"
+        promises = self.promises
+        server = Target(
+            id,
+            SERVICE,
+            data_centre,
+            promises.runs,
+            promises.namings_s.setdefault(id, []),
+            promises.notices,
+            self.rng,
+        )
+        server.deadly = self.deadly
+        server.on_crash = self._on_crash
+        await server.listener.open()
+        self.servers[id] = server
+        entry = {
+            "service": SERVICE,
+            "address": f"{STORE_IP}:{server.listener.port}",
+            "zone": data_centre,
+            "version": "v1",
+            "slots": server.slots,
+            "state": "ready",
+            "warmupLeft": "0s",
+            "seq": 1,
+            "born": self._number,
+        }
+        self.store.put("servers", id, json.dumps(entry).encode())
+        return server
+
+    def add_servers(self, count: int) -> None:
+        """Start servers in all data centres in turn."""
+        places = list(REGIONS)
+        for index in range(count):
+            place = places[index % len(places)]
+            self.network.run_until_complete(self.add_server(place))
+
+    def crash(self, server: Target) -> None:
+        """End a server without notice, with all that it runs; it comes back later."""
+        server.listener.shut()
+        self._restart_later(server)
+
+    def _on_crash(self, server: Target, path: str) -> None:
+        self.promises.crashes.append((path, self.now_s()))
+        self._restart_later(server)
+
+    def _restart_later(self, server: Target) -> None:
+        del self.servers[server.id]
+
+        async def restart() -> None:
+            await asyncio.sleep(DOWN_S)
+            self.store.drop("servers", server.id)
+            await self.add_server(server.data_centre)
+
+        self._spawn(restart())
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = self.network.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    # Callers.
+
+    def ask(self, path: str, host_name: str = "", body: bytes = b"") -> Asked:
+        """Send a request to a host, any by default; the result is filled in later."""
+        name = host_name or self.rng.choice(sorted(self.hosts))
+        self._number += 1
+        item = Asked(f"q{self._number}", path, name, self.now_s())
+        self.promises.asked.append(item)
+        self._spawn(self._ask(item, body))
+        return item
+
+    async def _ask(self, item: Asked, body: bytes) -> None:
+        req = CallerRequest(
+            "POST" if body else "GET",
+            item.path,
+            "api.example",
+            [(REQUEST_ID_HEADER, item.id.encode())],
+            id=item.id.encode(),
+            received_s=self.now_s(),
+            time_left_s=TIME_LIMIT_S,
+        )
+        req.body = body
+        answer = await self.hosts[item.daemon].relay.answer(req)
+        item.status = answer.status
+        item.body = answer.body
+        item.ended_s = self.now_s()
+        headers = {name: value for name, value in answer.headers}
+        item.digest = headers.get(b"crocusward-response-signature", b"").decode()
+
+    def ask_for(self, duration_s: float, per_s: float, *paths: str) -> None:
+        """Send requests at random for a while; the last path part is a new one."""
+        end_s = self.now_s() + duration_s
+        while self.now_s() < end_s:
+            self.network.advance(self.rng.expovariate(per_s))
+            self.ask(self.rng.choice(paths) if paths else f"/look/{self._number}")
+
     def late_hosts(self, version: int) -> list[str]:
         """Return the hosts that lack a version of the desired state."""
         return [
--- a/src/crocusward/devtools/fault_soak/_checks.py
+++ b/src/crocusward/devtools/fault_soak/_checks.py
@@ -22,6 +22,8 @@
 ROLLBACK_SLACK_S = 0.25  # between the effect of a version and a request after it
 LIMIT_KNOWN_S = 0.5  # from an answer with a limit until the daemons know it
 HOME_PREFIX = "/home/"
+MAX_CRASHES = 3  # under one request, until it is known as one that crashes servers
+MAX_LATE_RUNS = 3  # of such a request, sent later than STABLE_S after that
 
 
 class Span:
@@ -76,6 +78,7 @@
         cold: Cold times of servers, by id.
         notices: What servers told each daemon.
         harmed: Times in which the path to a server was harmed, by its id.
+        crashes: Path and time of each request that crashed a server.
     """
 
     def __init__(self) -> None:
@@ -94,6 +97,7 @@
         self.cold: dict[str, Span] = {}
         self.notices = Notices()
         self.harmed: dict[str, list[Span]] = {}
+        self.crashes: list[tuple[str, float]] = []
 
     def broken(self) -> list[str]:
         """Return the broken promises."""
@@ -110,6 +114,7 @@
             *self._pauses(),
             *self._planned_stops(),
             *self._limits(),
+            *self._crashes(),
         ]
         return sorted(found)
 
@@ -129,6 +134,25 @@
                     found.append(f"own_answer: {item.id} got {item.body!r}")
         return found
 
+    def _crashes(self) -> list[str]:
+        """Return requests that went on to servers after they crashed enough of them."""
+        found = []
+        for path in sorted({path for path, _ in self.crashes}):
+            times = sorted(at_s for item, at_s in self.crashes if item == path)
+            if len(times) < MAX_CRASHES:
+                continue
+            known_s = times[MAX_CRASHES - 1] + STABLE_S
+            late = [
+                run.id
+                for run in self.runs
+                if run.path == path
+                and run.at_s > known_s
+                and self._is_calm(run.at_s, run.host)
+            ]
+            if len(late) > MAX_LATE_RUNS:
+                found.append(f"crashes: {path} ran {len(late)} times more: {late}")
+        return found
+
     def _at_most_once(self) -> list[str]:
         found = []
         runs = Counter(run.id for run in self.runs)
--- a/src/crocusward/devtools/fault_soak/_targets.py
+++ b/src/crocusward/devtools/fault_soak/_targets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable, Collection
 
 from ...model import Record
 from ..standins._http import Connection, Listener, StandinRequest
@@ -54,6 +55,8 @@
         limits: Values of the rate limit that it names in each answer, not all valid.
         is_leaving: Whether it says in each answer that it leaves.
         pause_s: Retry-After of its refusals, 0.0 without one.
+        deadly: Paths whose requests end the server while they run.
+        on_crash: Called with the server and the path that ended it.
         listener: Where it listens.
     """
 
@@ -77,6 +80,8 @@
         self.limits: list[str] = []
         self.is_leaving = False
         self.pause_s = 0.0
+        self.deadly: Collection[str] = ()
+        self.on_crash: Callable[[Target, str], object] | None = None
         self.slots = slots
         self.listener = Listener(self, "127.0.0.1", 0)
         self._runs = runs
@@ -164,6 +169,13 @@
         loop.call_later(work_s, self._finish, conn, req, id)
 
     def _finish(self, conn: Connection, req: StandinRequest, id: str) -> None:
+        if not self.listener.is_open:
+            return  # it has crashed under another request
+        if req.path in self.deadly:
+            self.listener.shut()
+            if self.on_crash is not None:
+                self.on_crash(self, req.path)
+            return
         self._busy -= 1
         if self._waiting:
             self._start(*self._waiting.pop(0))
