Block requests that have crashed three servers, on all hosts

Cause: nothing related a lost connection to the request. Each arrival counted as new, at each host; and each idempotent one was sent to a second server at once. Class: a limit of all hosts together that nobody keeps. Now a request has a digest (method, host, target, authorization, body). A connection that ends without a byte of an answer makes the host try to connect once more: only a server that refuses has crashed. Crashes are a set, by server and its start, so that hosts merge what they saw in any order and count one crash once; an answer of a run clears them. Changes go to all hosts at once, to the group each second, and to a host that says hello. While nothing crashes nothing is hashed or sent. A suspect runs alone where servers are idle, is not hedged, and not repeated by the host after its second crash; after the third it is refused at once (503, crashes_servers) for 10 min or until operators release it. 512 requests are remembered, those with the most crashes last to go.

--- /dev/null
+++ b/src/crocusward/crashes/__init__.py
@@ -0,0 +1,22 @@
+"""Requests that crash the backend servers that run them, as known to all hosts.
+
+Nothing here does I/O; callers pass the time in.
+"""
+
+from ._identity import crash_id, request_digest, target_digest
+from ._registry import (
+    MAX_CRASHES,
+    CrashedRequest,
+    CrashRegistry,
+    CrashSummary,
+)
+
+__all__ = [
+    "MAX_CRASHES",
+    "CrashRegistry",
+    "CrashSummary",
+    "CrashedRequest",
+    "crash_id",
+    "request_digest",
+    "target_digest",
+]
--- a/src/crocusward/devtools/entry_soak/_host.py
+++ b/src/crocusward/devtools/entry_soak/_host.py
@@ -5,6 +5,7 @@
 from typing import cast
 from unittest import mock
 
+from ...crashes import CrashRegistry
 from ...desired import (
     BackendEntry,
     CallerLimits,
@@ -31,6 +32,7 @@
 )
 from ...relay import (
     BackendClient,
+    CrashWatch,
     LoadProber,
     NoticeTracker,
     RateLimitTracker,
@@ -179,6 +181,13 @@
         self.invariants = Invariants()
         self.rate_limits = RateLimitTracker(fleet.loop.time, sampler)
         self.notices = NoticeTracker(self.table.notices, self.timer.now, sampler)
+        self.crash_watch = CrashWatch(
+            CrashRegistry(fleet.loop.time),
+            client,
+            self.timer,
+            sampler,
+            lambda load, observation: None,
+        )
         with mock.patch(
             "crocusward.entryd._hub.NeighbourEndpoint",
             lambda on_message, _: FakeEndpoint(fleet, self, on_message),
@@ -231,6 +240,7 @@
             self.invariants,
             self.rate_limits,
             self.notices,
+            self.crash_watch,
             300,
         )
 
@@ -271,6 +281,7 @@
             lambda *request: self.slot_offers.issue_permit(*request),
             lambda host: None,
             self.rate_limits,
+            self.crash_watch,
             fleet.loop.time,
         )
 
--- a/src/crocusward/devtools/entry_soak/_whole_hosts.py
+++ b/src/crocusward/devtools/entry_soak/_whole_hosts.py
@@ -95,6 +95,7 @@
                 Path("no settings"),
                 LogPipe(io.StringIO()),
                 random.Random(self.rng.random()),
+                self.network.time,
             )
         self.hosts[name] = host
         await host.start()
--- a/src/crocusward/entryd/_hub.py
+++ b/src/crocusward/entryd/_hub.py
@@ -8,6 +8,7 @@
 from ..logs import EventSampler, log_event
 from ..neighbours import (
     BackendObservation,
+    CrashReport,
     Hello,
     HostReport,
     IdleSummary,
@@ -27,8 +28,9 @@
     Selection,
     SelectionRequest,
 )
-from ..relay import PermitAnswer, RateLimitTracker, ReservedSlot
+from ..relay import CrashWatch, PermitAnswer, RateLimitTracker, ReservedSlot
 from ..timing import Subscription, TimerService, boot_time_s
+from ._crash_exchange import CrashExchange
 from ._rate_limit_exchange import RateLimitExchange
 from ._slot_broker import SlotBroker
 
@@ -65,6 +67,7 @@
         issue_permit: Issues a permit for a rate-limited server to a neighbour.
         on_forgotten: Called with the name of a host that was removed as silent.
         rate_limits: Applies the rate limits that neighbours report.
+        crash_watch: Counts the crashes under requests.
         limit_clock: Clock of rate limits, in seconds.
 
     Attributes:
@@ -101,6 +104,7 @@
         "_silent_hosts",
         "_hellos_left",
         "_rate_limits",
+        "_crashes",
     )
 
     def __init__(
@@ -123,6 +127,7 @@
         issue_permit: Callable[..., Awaitable[PermitAnswer]],
         on_forgotten: Callable[[str], None],
         rate_limits: RateLimitTracker,
+        crash_watch: CrashWatch,
         limit_clock: Callable[[], float] = boot_time_s,
     ) -> None:
         self.is_leaving = False
@@ -161,6 +166,16 @@
             self._endpoint.send,
             self._group_addresses,
         )
+        self._crashes = CrashExchange(
+            facts.name,
+            crash_watch,
+            timer,
+            rng,
+            sampler,
+            self._endpoint.send,
+            self._other_addresses,
+            lambda: self._group_addresses(self._groups.own),
+        )
         book.permits.members = self._list_members
         self._on_forgotten = on_forgotten
         self._hosts: dict[str, EntryHost] = {
@@ -184,6 +199,7 @@
         await self._endpoint.start(self._facts.address, self._facts.peer_ports[0])
         self._send_hello_to_seeds()
         self._schedule_report()
+        self._crashes.start()
         self._subs.append(self._timer.every(HELLO_PERIOD_S, self._send_hello_to_seeds))
         self._subs.append(
             self._timer.every(LOCAL_SUMMARY_PERIOD_S, self._send_local_summaries)
@@ -279,6 +295,11 @@
             and host.host != self._facts.name
         ]
 
+    def _other_addresses(self) -> list[str]:
+        """Return the addresses of all other known hosts."""
+        own = self._facts.name
+        return [host.address for host in self._hosts.values() if host.host != own]
+
     def _list_members(self) -> GroupMembers:
         """Return the hosts of this group that can issue permits."""
         live = [
@@ -304,6 +325,7 @@
         elif isinstance(message, Hello):
             message.host.address = sender
             self._add_host(message.host)
+            self._crashes.report_all(sender)
             if message.known_count < len(self._hosts):
                 # The list is long, so only senders that miss a host receive it.
                 hosts = list(self._hosts.values())
@@ -313,6 +335,8 @@
             self._idle_summaries[message.group] = message
         elif isinstance(message, RateLimitReport):
             self._rate_limits.apply(message)
+        elif isinstance(message, CrashReport):
+            self._crashes.apply(message)
         elif isinstance(message, SlotRequest | SlotRelease | SlotOffer):
             self._slot_broker.handle_message(message, sender)
         else:
--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -6,10 +6,11 @@
 import random
 import signal
 import time
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
+from ..crashes import CrashRegistry
 from ..desired import (
     NO_ERA,
     Directory,
@@ -21,8 +22,9 @@
 from ..errors import ConflictError, CrocusError
 from ..invariants import Invariants, Violation
 from ..logs import EventSampler, Level, LogPipe, log_event
-from ..neighbours import NeighbourTable, ReadTimes
+from ..neighbours import BackendObservation, NeighbourTable, ReadTimes
 from ..placing import (
+    BackendLoad,
     BackendLoadTable,
     BackendSelector,
     FleetRetryBudget,
@@ -41,6 +43,7 @@
 )
 from ..relay import (
     BackendClient,
+    CrashWatch,
     Listener,
     LoadProber,
     NoticeTracker,
@@ -87,6 +90,7 @@
         path: Settings file, read again at a change or a signal.
         logs: Output of log events.
         rng: Source of jitter and random choices.
+        boot_time: Clock that goes on while the host is suspended, in seconds.
     """
 
     def __init__(
@@ -95,6 +99,7 @@
         path: Path,
         logs: LogPipe,
         rng: random.Random | None = None,
+        boot_time: Callable[[], float] = boot_time_s,
     ) -> None:
         loop = asyncio.get_running_loop()
         self.facts = facts
@@ -133,10 +138,18 @@
         )
         self.store = RowClient(self.store_pool, facts.store)
         self.followers = {name: self._make_follower(name) for name in REPLICATED_TABLES}
-        self.rate_limits = RateLimitTracker(boot_time_s, self.sampler)
+        self.rate_limits = RateLimitTracker(boot_time, self.sampler)
         self.notices = NoticeTracker(
             self.load_table.notices, self.timer.now, self.sampler
         )
+        backend_client = BackendClient(self.backend_pool)
+        self.crash_watch = CrashWatch(
+            CrashRegistry(boot_time),
+            backend_client,
+            self.timer,
+            self.sampler,
+            self._on_backend_gone,
+        )
         self.hub = NeighbourHub(
             facts,
             time.time_ns() // 1_000_000,
@@ -156,13 +169,14 @@
             lambda *request: self.slot_offers.issue_permit(*request),
             self._on_forgotten,
             self.rate_limits,
+            self.crash_watch,
+            boot_time,
         )
         times = ServiceTimeModel()
         bounds = facts.bounds
         self.retry_budget = FleetRetryBudget(
             bounds.retry_ratio, bounds.retry_reserve, bounds.retry_window_s
         )
-        backend_client = BackendClient(self.backend_pool)
         self.selector = BackendSelector(
             self.directory,
             self.load_table,
@@ -212,6 +226,7 @@
             self.invariants,
             self.rate_limits,
             self.notices,
+            self.crash_watch,
             facts.limits.memory_mb,
         )
         control = ControlHandler(self)
@@ -250,6 +265,12 @@
             detail=violation.detail,
         )
 
+    def _on_backend_gone(
+        self, load: BackendLoad, observation: BackendObservation
+    ) -> None:
+        load.observe(observation, self.timer.now())
+        self.hub.notify_change(load, observation)
+
     # State.
 
     def is_ready(self) -> bool:
--- a/src/crocusward/neighbours/__init__.py
+++ b/src/crocusward/neighbours/__init__.py
@@ -4,6 +4,7 @@
 from ._endpoint import NeighbourEndpoint
 from ._messages import (
     BackendObservation,
+    CrashReport,
     Hello,
     HostReport,
     IdleSummary,
@@ -33,6 +34,7 @@
     "RateLimitReport",
     "ReadTimes",
     "BackendObservation",
+    "CrashReport",
     "ObservationKind",
     "decode_message",
     "encode_message",
--- a/src/crocusward/neighbours/_codec.py
+++ b/src/crocusward/neighbours/_codec.py
@@ -4,10 +4,12 @@
 
 import cbor2
 
+from ..crashes import CrashSummary
 from ..desired import NO_ERA, NO_VERSION, EntryHost, TablePosition
 from ..errors import CrocusError
 from ._messages import (
     BackendObservation,
+    CrashReport,
     Hello,
     HostReport,
     IdleSummary,
@@ -28,6 +30,10 @@
 IDLE_SUMMARY = 6
 SLOT_RELEASE = 7
 RATE_LIMITS = 8
+CRASHES = 9
+MAX_CRASH_AGE_MS = 86_400_000  # a day, longer than any crash is remembered
+DIGEST_BYTES = 16
+CRASH_ID_BYTES = 8
 MAX_RATE_LIMIT_PER_S = 1e9  # above any value that a server may name
 
 Message = (
@@ -39,6 +45,7 @@
     | SlotRelease
     | IdleSummary
     | RateLimitReport
+    | CrashReport
 )
 
 
@@ -73,6 +80,10 @@
         return cbor2.dumps([IDLE_SUMMARY, message.group, message.idle])
     if isinstance(message, RateLimitReport):
         return cbor2.dumps([RATE_LIMITS, message.host, message.limits])
+    if isinstance(message, CrashReport):
+        return cbor2.dumps(
+            [CRASHES, message.host, [_encode_crashes(r) for r in message.requests]]
+        )
     if isinstance(message, SlotOffer):
         offer: list[Any] = [
             SLOT_OFFER,
@@ -88,6 +99,13 @@
     return cbor2.dumps([MEMBER_LIST, hosts])
 
 
+def _encode_crashes(item: CrashSummary) -> list[Any]:
+    ages_ms = {id: int(s * MS_PER_S) for id, s in item.crash_ages_s.items()}
+    if item.cleared_age_s is None:
+        return [item.digest, ages_ms]
+    return [item.digest, ages_ms, int(item.cleared_age_s * MS_PER_S)]
+
+
 def _encode_host(item: EntryHost) -> list[str]:
     return [item.host, item.address, item.data_centre]
 
@@ -164,6 +182,9 @@
             )
         if kind == RATE_LIMITS:
             return RateLimitReport(*_check_rate_limits(fields[1], fields[2]))
+        if kind == CRASHES:
+            _check_three_strings([fields[1], "", ""])
+            return CrashReport(fields[1], [_decode_crashes(r) for r in fields[2]])
         if kind == MEMBER_LIST:
             return MemberList(
                 [EntryHost(*_check_three_strings(item)) for item in fields[1]]
@@ -236,6 +257,26 @@
     return host, checked
 
 
+def _decode_crashes(item: list[Any]) -> CrashSummary:
+    digest, ages_ms, *cleared = item
+    if not isinstance(digest, bytes) or len(digest) != DIGEST_BYTES or len(cleared) > 1:
+        raise ValueError("malformed digest")
+    for id in ages_ms:
+        if not isinstance(id, bytes) or len(id) != CRASH_ID_BYTES:
+            raise ValueError("malformed crash id")
+    return CrashSummary(
+        digest,
+        {id: _check_age_s(age_ms) for id, age_ms in ages_ms.items()},
+        _check_age_s(cleared[0]) if cleared else None,
+    )
+
+
+def _check_age_s(age_ms: Any) -> float:
+    if type(age_ms) is not int or not 0 <= age_ms <= MAX_CRASH_AGE_MS:
+        raise ValueError("malformed age")
+    return age_ms / MS_PER_S
+
+
 def _check_counts(items: Any, minimum: int = 0) -> dict[str, int]:
     for name, count in items.items():
         if not isinstance(name, str) or type(count) is not int or count < minimum:
--- a/src/crocusward/neighbours/_messages.py
+++ b/src/crocusward/neighbours/_messages.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping, Sequence
 from enum import IntEnum
 
+from ..crashes import CrashSummary
 from ..desired import EntryHost, TablePosition
 from ..model import Record
 
@@ -178,6 +179,21 @@
         self.limits = dict(limits)
 
 
+class CrashReport(Record):
+    """Requests under which servers crashed, as a host knows them.
+
+    Attributes:
+        host: Name of the host.
+        requests: What it knows of each.
+    """
+
+    __slots__ = ("host", "requests")
+
+    def __init__(self, host: str, requests: Sequence[CrashSummary]) -> None:
+        self.host = host
+        self.requests = list(requests)
+
+
 class Hello(Record):
     """Announces a daemon and requests the member list of the receiver.
 
--- a/src/crocusward/placing/_load.py
+++ b/src/crocusward/placing/_load.py
@@ -133,6 +133,20 @@
         """Turn a request of this host into a slot reserved for another host."""
         self.sent_times_s.remove(sent_s)
 
+    def hold_free_slots(self) -> int:
+        """Count all slots but one as taken, so that a request runs alone.
+
+        Returns:
+            The number of slots, for ``release_held_slots``.
+        """
+        held = max(0, self.entry.slots - 1)
+        self.own_in_flight += held
+        return held
+
+    def release_held_slots(self, count: int) -> None:
+        """Free slots that were held for a request to run alone."""
+        self.own_in_flight -= count
+
     def end(self, sent_s: float) -> None:
         """Count the end of a request of this host."""
         self.own_in_flight -= 1
--- a/src/crocusward/placing/_selection.py
+++ b/src/crocusward/placing/_selection.py
@@ -133,6 +133,7 @@
         cold_count: Number of usable servers in this group that are cold.
         warm_in_s: Time until the first of those is warm, in seconds.
         completions_per_s: Requests that this group completes in a second.
+        held_slots: Slots of the server that are kept empty while the request runs.
     """
 
     __slots__ = (
@@ -160,6 +161,7 @@
         "cold_count",
         "warm_in_s",
         "completions_per_s",
+        "held_slots",
     )
 
     def __init__(
@@ -193,6 +195,7 @@
         self.cold_count = 0
         self.warm_in_s = math.inf
         self.completions_per_s = 0.0
+        self.held_slots = 0
 
     def copy_from(self, other: "Selection") -> None:
         """Copy all fields of another selection."""
--- a/src/crocusward/relay/__init__.py
+++ b/src/crocusward/relay/__init__.py
@@ -1,6 +1,7 @@
 """Proxies requests of callers to backend servers and returns their answers."""
 
 from ._caller import CallerConnection
+from ._crash_watch import CrashWatch, show_digest
 from ._exchange import BackendClient, Exchange, ExchangeEnd
 from ._listener import Listener
 from ._messages import CallerAnswer, CallerRequest, make_refusal
@@ -20,6 +21,7 @@
     "CallerAnswer",
     "CallerConnection",
     "CallerRequest",
+    "CrashWatch",
     "Exchange",
     "ExchangeEnd",
     "ReservedSlot",
@@ -33,4 +35,5 @@
     "Relay",
     "RequestLog",
     "make_refusal",
+    "show_digest",
 ]
--- /dev/null
+++ b/src/crocusward/relay/_crash_watch.py
@@ -0,0 +1,202 @@
+"""Finds out which lost requests crashed their server, and blocks those that do."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+
+from ..crashes import (
+    MAX_CRASHES,
+    CrashRegistry,
+    crash_id,
+    request_digest,
+    target_digest,
+)
+from ..logs import EventSampler, Level
+from ..neighbours import BackendObservation, ObservationKind
+from ..placing import BackendLoad, Refused
+from ..timing import TimerService
+from ._exchange import BackendClient
+from ._messages import CallerRequest
+
+CHECK_TIMEOUT_S = 0.3  # of a connection to a server that lost a request
+# A process that ends closes its sockets one by one, so that a connection opened in
+# between is closed again.
+CHECK_SETTLE_S = 0.02
+CRASHES_SERVERS = "crashes_servers"
+DIGEST_SHOWN_CHARS = 16
+
+
+class CrashWatch:
+    """Counts crashes of servers under requests, and knows which may still run.
+
+    A connection that ends without a byte of an answer is no crash by itself: the server
+    must also refuse new connections. All requests that a crash ended become suspects;
+    the answer of a run clears one again.
+
+    Args:
+        registry: Counts the crashes.
+        client: Checks servers.
+        timer: Source of time.
+        sampler: Logs what is counted.
+        notify: Reports that a server is gone to neighbours.
+
+    Attributes:
+        events: Number of events by name.
+        on_change: Called with the digest of a request whose count this host changed.
+    """
+
+    __slots__ = (
+        "events",
+        "on_change",
+        "registry",
+        "_client",
+        "_timer",
+        "_sampler",
+        "_notify",
+        "_checks",
+    )
+
+    def __init__(
+        self,
+        registry: CrashRegistry,
+        client: BackendClient,
+        timer: TimerService,
+        sampler: EventSampler,
+        notify: Callable[[BackendLoad, BackendObservation], None],
+    ) -> None:
+        self.events: Counter[str] = Counter()
+        self.on_change: Callable[[bytes], object] = lambda digest: None
+        self.registry = registry
+        self._client = client
+        self._timer = timer
+        self._sampler = sampler
+        self._notify = notify
+        self._checks: dict[str, asyncio.Task[bool]] = {}
+
+    def find(self, req: CallerRequest) -> bytes | None:
+        """Return the digest of a request under which a server crashed, or None.
+
+        The body is hashed only if the target is known.
+        """
+        if not self.registry.records:
+            return None
+        if not self.registry.knows_target(
+            target_digest(req.method, req.host, req.target)
+        ):
+            return None
+        digest = _digest(req)
+        return digest if self.registry.count(digest) else None
+
+    def count(self, digest: bytes | None) -> int:
+        """Return the number of crashes under a request."""
+        return self.registry.count(digest) if digest is not None else 0
+
+    def check_allowed(self, digest: bytes | None, request_id: str) -> None:
+        """Refuse a request that may reach no server any more.
+
+        Raises:
+            Refused: It crashed ``MAX_CRASHES`` servers.
+        """
+        if digest is None or not self.registry.is_blocked(digest):
+            return
+        left_s = self.registry.block_left_s(digest)
+        self.events["request_blocked"] += 1
+        self._sampler.log(
+            "request_blocked",
+            id=request_id,
+            digest=show_digest(digest),
+            crashes=self.registry.count(digest),
+            for_s=left_s,
+        )
+        raise Refused(
+            f"{MAX_CRASHES} servers crashed under this request",
+            left_s,
+            code=CRASHES_SERVERS,
+        )
+
+    def examine(
+        self, req: CallerRequest, request_id: str, load: BackendLoad
+    ) -> "asyncio.Task[None]":
+        """Find out whether a server crashed under a request that it lost.
+
+        The check goes on if the caller leaves.
+        """
+        return asyncio.get_running_loop().create_task(
+            self._examine(req, request_id, load)
+        )
+
+    async def _examine(
+        self, req: CallerRequest, request_id: str, load: BackendLoad
+    ) -> None:
+        entry = load.entry
+        crash = crash_id(entry.id, entry.started_unix_ms)
+        check = self._checks.get(entry.id)
+        if check is None:
+            check = asyncio.get_running_loop().create_task(self._is_gone(load))
+            self._checks[entry.id] = check
+            check.add_done_callback(lambda _: self._checks.pop(entry.id, None))
+        if not await check:
+            return
+        digest = _digest(req)
+        if self.registry.add_crash(digest, crash):
+            self.events["crash_counted"] += 1
+            self._sampler.log(
+                "crash_counted",
+                Level.WARNING,
+                id=request_id,
+                digest=show_digest(digest),
+                backend=entry.id,
+                crashes=self.registry.count(digest),
+            )
+            self.on_change(digest)
+
+    async def _is_gone(self, load: BackendLoad) -> bool:
+        is_gone = await self._client.refuses_connections(load, CHECK_TIMEOUT_S)
+        if not is_gone:
+            await self._timer.sleep(CHECK_SETTLE_S)
+            if not self._client.idle_connections(load):
+                is_gone = await self._client.refuses_connections(load, CHECK_TIMEOUT_S)
+        if is_gone:
+            self._notify(
+                load, BackendObservation(load.entry.id, ObservationKind.UNREACHABLE)
+            )
+        return is_gone
+
+    def note_answer(self, digest: bytes, request_id: str, load: BackendLoad) -> None:
+        """Clear a request that a server survived."""
+        if self.registry.clear(digest):
+            self.events["crash_cleared"] += 1
+            self._sampler.log(
+                "crash_cleared",
+                id=request_id,
+                digest=show_digest(digest),
+                backend=load.entry.id,
+            )
+            self.on_change(digest)
+
+    def release(self, digest_text: str) -> int:
+        """Release requests by the beginning of their digest, as operators ask for.
+
+        Returns:
+            The number of requests.
+        """
+        found = [
+            digest
+            for digest in self.registry.list_digests()
+            if digest_text and digest.hex().startswith(digest_text)
+        ]
+        released = [digest for digest in found if self.registry.clear(digest)]
+        for digest in released:
+            self.events["crash_released"] += 1
+            self._sampler.log("crash_released", digest=show_digest(digest))
+            self.on_change(digest)
+        return len(released)
+
+
+def _digest(req: CallerRequest) -> bytes:
+    return request_digest(req.method, req.host, req.target, req.headers, req.body)
+
+
+def show_digest(digest: bytes) -> str:
+    """Return the part of a digest that logs show."""
+    return digest.hex()[:DIGEST_SHOWN_CHARS]
--- a/src/crocusward/relay/_exchange.py
+++ b/src/crocusward/relay/_exchange.py
@@ -21,6 +21,7 @@
 )
 from ..timing import boot_time_s
 from ..upstream import (
+    CUT,
     HOP_BY_HOP_NAMES,
     AnswerMatch,
     HttpAnswer,
@@ -71,9 +72,10 @@
         observation: What was observed of the server.
         answer: The answer to pass on, or None.
         reason: Short description for logs and metrics.
+        is_cut: Whether the connection ended before a byte of an answer.
     """
 
-    __slots__ = ("end", "observation", "answer", "reason")
+    __slots__ = ("end", "observation", "answer", "reason", "is_cut")
 
     def __init__(
         self,
@@ -81,11 +83,13 @@
         observation: BackendObservation,
         answer: CallerAnswer | None = None,
         reason: str = "",
+        is_cut: bool = False,
     ) -> None:
         self.end = end
         self.observation = observation
         self.answer = answer
         self.reason = reason
+        self.is_cut = is_cut
 
     @property
     def has_usable_answer(self) -> bool:
@@ -163,13 +167,29 @@
             is_silent = "in time" in str(exc)
             kind = ObservationKind.SILENT if is_silent else ObservationKind.FAILED
             return Exchange(
-                ExchangeEnd.UNKNOWN, BackendObservation(entry.id, kind), reason=str(exc)
+                ExchangeEnd.UNKNOWN,
+                BackendObservation(entry.id, kind),
+                reason=str(exc),
+                is_cut=exc.code == CUT,
             )
         exchange = _read_answer(entry.id, answer, req)
         exchange.observation.asked_s = asked_s
         exchange.observation.answered_s = boot_time_s()
         return exchange
 
+    async def refuses_connections(self, load: BackendLoad, timeout_s: float) -> bool:
+        """Return whether nobody listens at a server's address.
+
+        A connection that is accepted is kept for the next request.
+        """
+        try:
+            await self._pool.open_idle(*load.entry.address, timeout_s)
+        except NotSentError as exc:
+            return isinstance(exc.__cause__, ConnectionRefusedError)
+        finally:
+            load.idle_connections = self.idle_connections(load)
+        return False
+
     async def probe(
         self, load: BackendLoad, path: str, timeout_s: float
     ) -> BackendObservation | None:
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -21,6 +21,7 @@
 )
 from ..timing import TimerService
 from ._caller import DEFAULT_LIMITS
+from ._crash_watch import CRASHES_SERVERS, CrashWatch
 from ._exchange import BackendClient, Exchange, ExchangeEnd
 from ._hedging import LosingAttempts
 from ._messages import CallerAnswer, CallerRequest, make_refusal
@@ -35,6 +36,8 @@
 STARTING_RETRY_AFTER_S = 0.5  # a desired state is normally loaded by then
 BODY_MEMORY_SHARE = 0.25  # share of the host's memory for request bodies
 BYTES_PER_MB = 1 << 20
+# Crashes under a request after which this host does not repeat it by itself.
+MAX_CRASHES_TO_REPEAT = 1
 # Reasons why a selected server got no byte of a request.
 WITHDRAWN = "withdrawn"
 PERMIT_EXPIRED = "permit_expired"
@@ -57,6 +60,7 @@
         invariants: Checks invariants at run time.
         rate_limits: Applies the rate limits that servers name.
         notices: Applies what servers tell this host about themselves.
+        crash_watch: Knows the requests under which servers crashed.
         memory_mb: Memory of the host, in MiB.
 
     Attributes:
@@ -82,6 +86,7 @@
         "_invariants",
         "_rate_limits",
         "_notices",
+        "_crash_watch",
         "_slot_finder",
         "_split",
         "_reserved_body_bytes",
@@ -105,6 +110,7 @@
         invariants: Invariants,
         rate_limits: RateLimitTracker,
         notices: NoticeTracker,
+        crash_watch: CrashWatch,
         memory_mb: int,
     ) -> None:
         self.limits: CallerLimits = DEFAULT_LIMITS
@@ -122,6 +128,7 @@
         self._invariants = invariants
         self._rate_limits = rate_limits
         self._notices = notices
+        self._crash_watch = crash_watch
         self._slot_finder = slot_finder
         self._split = WeightedSplit()
         self._reserved_body_bytes = 0
@@ -227,12 +234,14 @@
             body_bytes=len(req.body),
         )
         call = Call(req, selection_req, began_s)
+        call.digest = self._crash_watch.find(req)
         selection_req.excluded = call.tried_ids
         return call
 
     # Attempts.
 
     async def _serve(self, call: Call) -> CallerAnswer:
+        self._crash_watch.check_allowed(call.digest, call.selection_req.id)
         running: dict[asyncio.Task[Exchange], Selection] = {}
         try:
             while True:
@@ -240,6 +249,8 @@
                     selection = await self._select_backend(call)
                     running[self._start_attempt(call, selection)] = selection
                 done = await self._wait_for_end(call, running)
+                if call.crash_check is not None:
+                    await self._wait_for_crash_check(call)
                 for task in done:
                     del running[task]
                     answer = self._process_result(call, task.result(), bool(running))
@@ -250,6 +261,15 @@
         finally:
             self._losing_attempts.cancel_later(running)
 
+    async def _wait_for_crash_check(self, call: Call) -> None:
+        """Wait for what a repeat depends on; it goes on if the caller leaves."""
+        check = call.crash_check
+        assert check is not None
+        call.crash_check = None
+        if call.selection_req.route.idempotent:
+            await asyncio.shield(check)
+            call.digest = self._crash_watch.find(call.req)
+
     async def _wait_for_end(
         self, call: Call, running: dict[asyncio.Task[Exchange], Selection]
     ) -> "set[asyncio.Task[Exchange]]":
@@ -286,6 +306,7 @@
         route = call.selection_req.route
         if (
             not route.idempotent
+            or call.digest is not None
             or len(running) > 1
             or call.attempts >= route.max_attempts
         ):
@@ -323,7 +344,12 @@
     async def _select_backend(self, call: Call) -> Selection:
         began_s = self._now()
         try:
-            return await self._slot_finder.find(call.selection_req)
+            crashes = self._crash_watch.count(call.digest)
+            if not crashes:
+                return await self._slot_finder.find(call.selection_req)
+            return await self._slot_finder.find_quiet(
+                call.selection_req, must_be_alone=crashes > MAX_CRASHES_TO_REPEAT
+            )
         finally:
             call.waited_s += self._now() - began_s
 
@@ -374,6 +400,9 @@
         left_s = call.selection_req.deadline_s - self._now()
 
         def check_before_write() -> None:
+            call.digest = call.digest or self._crash_watch.find(call.req)
+            if self._crash_watch.registry.is_blocked(call.digest or b""):
+                raise NotSentError("servers crash under it", code=CRASHES_SERVERS)
             if not self._selector.is_allowed(load, route, self._now()):
                 raise NotSentError("the server is out of service", code=WITHDRAWN)
             is_limited = load.is_limited(self._now())
@@ -396,6 +425,7 @@
         begun_s = selection.begun_s
         assert load is not None and begun_s is not None
         load.end(begun_s)
+        load.release_held_slots(selection.held_slots)
         if selection.release is not None:
             selection.release()
         load.idle_connections = self._client.idle_connections(load)
@@ -408,6 +438,12 @@
             load.observe(observation, self._now())
             self._rate_limits.observe(load, observation, call.selection_req.id)
             self._notices.observe(load, observation, call.selection_req.id)
+            if result.is_cut:
+                call.crash_check = self._crash_watch.examine(
+                    call.req, call.selection_req.id, load
+                )
+            elif result.end is ExchangeEnd.ANSWERED and call.digest is not None:
+                self._crash_watch.note_answer(call.digest, call.selection_req.id, load)
             self._log.log_ejection_change(call, load, observation, was_ejected)
         self._notifier.notify_change(load, observation)
         self.dispatch_queued(call.selection_req.service)
@@ -462,6 +498,7 @@
                 )
             if has_other_attempts:
                 return None
+            self._crash_watch.check_allowed(call.digest, call.selection_req.id)
             if self._can_retry(call, result):
                 return None
             if call.may_have_run:
@@ -481,6 +518,7 @@
             return None
         if (
             route.idempotent
+            and self._crash_watch.count(call.digest) <= MAX_CRASHES_TO_REPEAT
             and call.attempts < route.max_attempts
             and self._now() + MIN_ATTEMPT_TIME_S < call.selection_req.deadline_s
             and self._retry_budget.try_spend(call.selection_req.service, self._now())
--- a/src/crocusward/relay/_requests.py
+++ b/src/crocusward/relay/_requests.py
@@ -1,5 +1,6 @@
 """State of active requests, and their log events and metrics."""
 
+import asyncio
 from collections.abc import Callable
 
 from ..desired import Directory
@@ -23,6 +24,8 @@
         last_failure: Latest server error that was received, or None.
         began_s: When processing began, in monotonic seconds.
         waited_s: Total wait for slots, in seconds.
+        digest: Digest of the request if servers crashed under it, or None.
+        crash_check: Finds out whether a server crashed under it, or None.
     """
 
     __slots__ = (
@@ -34,6 +37,8 @@
         "last_failure",
         "began_s",
         "waited_s",
+        "digest",
+        "crash_check",
     )
 
     def __init__(
@@ -47,6 +52,8 @@
         self.last_failure: CallerAnswer | None = None
         self.began_s = began_s
         self.waited_s = 0.0
+        self.digest: bytes | None = None
+        self.crash_check: asyncio.Task[None] | None = None
 
 
 class RequestLog:
--- a/src/crocusward/relay/_slot_finder.py
+++ b/src/crocusward/relay/_slot_finder.py
@@ -26,6 +26,10 @@
 QUEUE_CHECK_PERIOD_S = 0.03  # finds slots that became free without a report
 FULL_RETRY_AFTER_S = 0.2  # a full data centre may have a free slot by then
 MIN_ATTEMPT_TIME_S = 0.01  # an attempt with less time until its deadline is useless
+QUIET_SERVER_PERIOD_S = 0.02  # between looks for a server without requests
+MAX_QUIET_WAIT_S = 0.3  # for one; then a request may run beside others
+# Share of idle servers from which one is kept for a request alone.
+ALONE_IDLE_SHARE = 0.25
 MAX_ASKED_GROUPS = 3  # per pass, before the request is queued here or there
 
 
@@ -107,6 +111,33 @@
             self._sampler.log("request_sent_far", id=req.id, instead_of=exc.code)
             return found
 
+    async def find_quiet(
+        self, req: SelectionRequest, *, must_be_alone: bool
+    ) -> Selection:
+        """Return a server that runs no other request, for one that may crash it.
+
+        Args:
+            req: The request.
+            must_be_alone: Whether to wait for such a server. Otherwise it is used only
+                if there are enough of them.
+
+        Raises:
+            Refused: No server can answer in time.
+        """
+        end_s = self._timer.now() + (MAX_QUIET_WAIT_S if must_be_alone else 0.0)
+        while True:
+            selection = await self.find_hedge_slot(req)
+            if selection is not None and selection.load is not None:
+                if must_be_alone or selection.idle_share >= ALONE_IDLE_SHARE:
+                    now_s = self._timer.now()
+                    selection.load.begin(now_s)
+                    selection.begun_s = now_s
+                    selection.held_slots = selection.load.hold_free_slots()
+                    return selection
+            if self._timer.now() >= end_s:
+                return await self.find(req)
+            await self._timer.sleep(QUIET_SERVER_PERIOD_S)
+
     async def _find_in_groups(self, req: SelectionRequest) -> Selection:
         """Find a slot in this group or, if it has none, in other groups."""
         full_groups: set[str] = set()
--- a/src/crocusward/upstream/_connection.py
+++ b/src/crocusward/upstream/_connection.py
@@ -18,7 +18,9 @@
 MAX_SKIPPED_ANSWERS = 8  # mismatched answers in one exchange
 FRAMING_FACTOR = 8  # framing bytes for each body byte, in chunks of one byte
 PEEK_AFTER_IDLE_S = 0.2
-SILENT = "silent"  # code of the error of an exchange in which no byte arrived in time
+# Codes of the errors of exchanges in which no byte of an answer arrived.
+SILENT = "silent"  # in time
+CUT = "cut"  # before the connection ended
 _NO_BODY_STATUSES = frozenset({204, 304})
 
 Headers = list[tuple[bytes, bytes]]
@@ -287,12 +289,16 @@
             self._is_complete = True
             self._keep_alive = False
             self._complete_exchange(memoryview(b""))
-        self._fail("the server closed the connection")
+        self._fail("the server closed the connection", self._end_code())
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange in progress."""
-        self._close(f"the connection broke: {exc}" if exc else "the connection closed")
+        reason = f"the connection broke: {exc}" if exc else "the connection closed"
+        self._close(reason, self._end_code())
+
+    def _end_code(self) -> str | None:
+        return None if self._has_received else CUT
 
     # Callbacks of httptools.HttpResponseParser.
 
--- a/src/crocusward/upstream/_pool.py
+++ b/src/crocusward/upstream/_pool.py
@@ -161,6 +161,18 @@
         self._release(endpoint, conn, answer)
         return answer
 
+    async def open_idle(self, address: str, port: int, timeout_s: float) -> None:
+        """Open a connection and keep it for the next request.
+
+        Raises:
+            NotSentError: With code ``refused`` if nobody listens there.
+        """
+        endpoint = self._get_endpoint(address, port)
+        conn = await self._connect(endpoint, address, port, timeout_s)
+        conn.idle_since_s = self._timer.now()
+        conn.idle_limit_s = self._idle_s
+        endpoint.idle.append(conn)
+
     def limit_connections(self, address: str, port: int, limit: int | None) -> None:
         """Set the maximum number of connections to an address; None for the default."""
         self._get_endpoint(address, port).limit = limit
--- a/tests/entry_support.py
+++ b/tests/entry_support.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+from crocusward.crashes import CrashRegistry
 from crocusward.desired import (
     BackendEntry,
     CallerLimits,
@@ -23,6 +24,7 @@
 )
 from crocusward.relay import (
     BackendClient,
+    CrashWatch,
     Listener,
     NoticeTracker,
     RateLimitTracker,
@@ -117,6 +119,14 @@
             self.notifier,
             sampler,
         )
+        client = BackendClient(self.pool)
+        self.crash_watch = CrashWatch(
+            CrashRegistry(self.timer.now),
+            client,
+            self.timer,
+            sampler,
+            lambda load, observation: None,
+        )
         self.relay = Relay(
             self.timer,
             self.directory,
@@ -125,12 +135,13 @@
             placer,
             self.places,
             self.retries,
-            BackendClient(self.pool),
+            client,
             self.notifier,
             RequestLog(self.timer.now, self.directory, sampler),
             self.invariants,
             self.rate_limits,
             NoticeTracker(self.book.notices, self.timer.now, sampler),
+            self.crash_watch,
             100,
         )
         self.relay.limits = self.directory.state.limits
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -1,10 +1,28 @@
 """Requests that crash servers, met by many whole daemons in virtual time."""
 
+import random
 import unittest
 
+import cbor2
+
+from crocusward.crashes import (
+    MAX_CRASHES,
+    CrashRegistry,
+    CrashSummary,
+    crash_id,
+    request_digest,
+)
+from crocusward.crashes._registry import BLOCK_LIFETIME_S, MAX_RECORDS
 from crocusward.devtools.entry_soak import WholeFleet
+from crocusward.neighbours import (
+    CrashReport,
+    MessageError,
+    decode_message,
+    encode_message,
+)
 
 DEADLY = "/look/deadly"
+DIGEST = b"0123456789abcdef"
 
 
 class CrashingRequestsTest(unittest.TestCase):
@@ -33,6 +51,180 @@
                 self.assertEqual(fleet.promises.broken(), [])
                 self.assertGreaterEqual(len(fleet.promises.crashes), 3)
 
+    def test_innocent_requests_beside_a_deadly_one_are_served(self):
+        """Guards against innocents that are blocked with the request beside them."""
+        fleet = self.make_fleet(3)
+        innocents = [f"/look/innocent-{number}" for number in range(6)]
+        end_s = fleet.now_s() + 8.0
+        while fleet.now_s() < end_s:
+            fleet.ask(DEADLY)
+            fleet.ask_for(0.2, 120.0, *innocents)
+        fleet.network.advance(4.0)
+        asked = [fleet.ask(path) for path in innocents for _ in range(4)]
+        fleet.network.advance(2.0)
+        self.assertEqual([item.status for item in asked], [200] * len(asked))
+        self.assertEqual(fleet.promises.broken(), [])
+
+    def test_requests_of_a_data_centre_that_loses_its_servers_are_served(self):
+        """Guards against blocks of requests that died for another reason."""
+        fleet = self.make_fleet(4)
+        paths = [f"/look/{number}" for number in range(8)]
+        for _ in range(4):
+            fleet.ask_for(0.5, 150.0, *paths)
+            for server in list(fleet.servers.values()):
+                if server.data_centre == "east-a":
+                    fleet.crash(server)
+            fleet.ask_for(4.0, 20.0, *paths)
+        asked = [fleet.ask(path) for path in paths for _ in range(3)]
+        fleet.network.advance(2.0)
+        self.assertEqual([item.status for item in asked], [200] * len(asked))
+        blocked = [h.crash_watch.registry.count_blocked() for h in fleet.hosts.values()]
+        self.assertEqual(sum(blocked), 0)
+
+    def test_all_hosts_know_a_blocked_request_and_so_does_one_that_starts(self):
+        """Guards against knowledge that stays with the hosts that saw a crash."""
+        fleet = self.make_fleet(5)
+        self.play_deadly(fleet, 3.0, 4.0)
+        fleet.network.advance(2.0)
+        name = "host-west-a-003"
+        fleet.network.shut(fleet.places[name][0])
+        fleet.network.run_until_complete(fleet.start(name))
+        fleet.network.advance(2.0)
+        for host in fleet.hosts.values():
+            self.assertEqual(host.crash_watch.registry.count_blocked(), 1)
+        before = len(fleet.promises.crashes)
+        item = fleet.ask(DEADLY, name)
+        fleet.network.advance(1.0)
+        self.assertEqual(item.status, 503)
+        self.assertEqual(len(fleet.promises.crashes), before)
+
+    def test_a_released_request_may_run_again(self):
+        """Guards against a block that operators cannot lift on all hosts."""
+        fleet = self.make_fleet(6)
+        self.play_deadly(fleet, 3.0, 4.0)
+        fleet.deadly.clear()
+        fleet.network.advance(2.0)
+        watch = next(iter(fleet.hosts.values())).crash_watch
+        (digest,) = watch.registry.records
+        self.assertEqual(watch.release(digest.hex()[:8]), 1)
+        fleet.network.advance(3.0)
+        asked = [fleet.ask(DEADLY, name) for name in fleet.hosts]
+        fleet.network.advance(2.0)
+        self.assertEqual({item.status for item in asked}, {200})
+
+    def test_a_server_that_resets_connections_has_not_crashed(self):
+        """Guards against a reset that counts as a crash."""
+        fleet = self.make_fleet(7, 4, 8)
+        for server in fleet.servers.values():
+            server.mode = "reset"
+        for _ in range(8):
+            fleet.ask("/look/x")
+            fleet.network.advance(0.5)
+        for server in fleet.servers.values():
+            server.mode = ""
+        fleet.network.advance(8.0)  # until no server is ejected any more
+        item = fleet.ask("/look/x")
+        fleet.network.advance(1.0)
+        self.assertEqual(item.status, 200)
+        for host in fleet.hosts.values():
+            self.assertEqual(host.crash_watch.registry.records, {})
+
+
+class RegistryTest(unittest.TestCase):
+    def setUp(self):
+        self.now_s = 100.0
+        self.registry = self.make()
+
+    def make(self):
+        return CrashRegistry(lambda: self.now_s)
+
+    def test_a_crash_that_several_hosts_see_counts_once(self):
+        """Guards against blocks after one crash."""
+        for _ in range(3):
+            self.registry.add_crash(DIGEST, crash_id("i-1", 5))
+        self.assertEqual(self.registry.count(DIGEST), 1)
+        self.registry.add_crash(DIGEST, crash_id("i-1", 6))
+        self.assertEqual(self.registry.count(DIGEST), 2)
+
+    def test_an_answer_clears_earlier_crashes_but_not_later_ones(self):
+        """Guards against late reports that bring cleared crashes back."""
+        self.registry.add_crash(DIGEST, crash_id("i-1", 5))
+        report = self.registry.summarise(DIGEST)
+        self.now_s += 1.0
+        self.registry.clear(DIGEST)
+        report.crash_ages_s = {id: age + 1.0 for id, age in report.crash_ages_s.items()}
+        self.assertFalse(self.registry.merge(report))
+        self.assertEqual(self.registry.count(DIGEST), 0)
+        self.now_s += 1.0
+        self.registry.add_crash(DIGEST, crash_id("i-2", 5))
+        self.assertEqual(self.registry.count(DIGEST), 1)
+
+    def test_reports_merge_in_any_order(self):
+        """Guards against hosts that end with different counts."""
+        rng = random.Random(8)
+        for _ in range(50):
+            parts = [
+                CrashSummary(
+                    DIGEST,
+                    {
+                        crash_id("i", n): rng.random() * 9.0
+                        for n in rng.sample(range(5), 2)
+                    },
+                    rng.choice([None, rng.random() * 9.0]),
+                )
+                for _ in range(4)
+            ]
+            results = []
+            for _ in range(3):
+                rng.shuffle(parts)
+                registry = self.make()
+                for part in parts:
+                    registry.merge(part)
+                results.append(registry.count(DIGEST) >= MAX_CRASHES)
+            self.assertEqual(len(set(results)), 1)
+
+    def test_a_flood_of_crashes_keeps_the_request_that_counts(self):
+        """Guards against a flood that fills the host or pushes out what counts."""
+        for number in range(MAX_CRASHES):
+            self.registry.add_crash(DIGEST, crash_id("i-1", number))
+        for number in range(5 * MAX_RECORDS):
+            self.registry.add_crash(b"%016d" % number, crash_id("i-2", number))
+        self.assertTrue(self.registry.is_blocked(DIGEST))
+        self.assertLessEqual(len(self.registry.records), MAX_RECORDS)
+        self.now_s += BLOCK_LIFETIME_S + 1.0
+        self.registry.expire()
+        self.assertEqual(self.registry.records, {})
+        self.assertFalse(self.registry.knows_target(DIGEST[:4]))
+
+    def test_the_caller_and_the_body_tell_requests_apart(self):
+        """Guards against blocks of other callers, and of other uploads."""
+        digests = {
+            request_digest("POST", "h", "/p", headers, body)
+            for headers in ([], [(b"authorization", b"a")], [(b"authorization", b"b")])
+            for body in (b"", b"x" * 100_000, b"x" * 99_999 + b"y")
+        }
+        self.assertEqual(len(digests), 9)
+        again = request_digest("POST", "h", "/p", [(b"x-request-id", b"1")], b"")
+        self.assertIn(again, digests)
+
+    def test_reports_survive_the_wire_and_malformed_ones_are_refused(self):
+        """Guards against reports that end a daemon or enter a false count."""
+        summary = CrashSummary(DIGEST, {crash_id("i-1", 1): 2.5}, 1.25)
+        data = encode_message(CrashReport("h1", [summary]))
+        self.assertEqual(decode_message(data).requests, [summary])
+        for bad in (
+            [b"short", {}],
+            [DIGEST, {b"x": 1}],
+            [DIGEST, {crash_id("i", 1): -1}],
+            [DIGEST, {crash_id("i", 1): 10**400}],
+            [DIGEST, {crash_id("i", 1): 1.5}],
+            [DIGEST, {}, 1, 2],
+            [DIGEST],
+            5,
+        ):
+            with self.subTest(bad=bad), self.assertRaises(MessageError):
+                decode_message(cbor2.dumps([9, "h1", [bad]]))
+
 
 if __name__ == "__main__":
     unittest.main()
