Refuse odd entries, documents, pages and headers field by field

Report of another operator: one odd entry among those of the servers (deep nesting, a number too large, a port out of range) ended the hosts that read it, or stopped them. Accepted were integers that no float holds, infinite times, names for IP addresses, ids and texts that can be neither logged nor sent; a deeply nested value ended its own finding (RecursionError), a number of 400 digits in an answer's header turned every answer of that server into a 502, and a row that failed kept the rows after it back for good, though the copy had moved on.

--- a/src/crocusward/documents/_section.py
+++ b/src/crocusward/documents/_section.py
@@ -7,6 +7,7 @@
 from ..errors import Finding, FindingsError, SourceLocation, nearest_name
 from ._lines import LineIndex
 
+MAX_INTEGER = 2**53  # up to here a float holds each integer
 MAX_SHOWN_VALUE_CHARS = 60  # longest excerpt of an invalid value in a finding
 
 
@@ -151,6 +152,9 @@
         if isinstance(value, bool) or not isinstance(value, int | float):
             self._add_wrong_type(key, "a number", value)
             return low
+        if isinstance(value, int) and abs(value) > MAX_INTEGER:
+            self.add(key, "range", "the integer is too large")
+            return low
         if not math.isfinite(value):
             self.add(key, "range", f"{value} is not a finite number")
             return low
--- a/src/crocusward/entryd/_reader.py
+++ b/src/crocusward/entryd/_reader.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from ..desired import NO_ERA, RowChange, TablePage, TableReplica
 from ..errors import CrocusError, StoreUnavailableError
@@ -225,8 +225,7 @@
                 taken=len(changes),
                 kept=copy.kept_count,
             )
-        for change in changes:
-            self._on_change(copy.name, change)
+        self._apply_changes(changes)
         if copy.position != before:
             self._on_version()
 
@@ -280,10 +279,24 @@
             version=page.version,
             taken=len(changes),
         )
+        self._apply_changes(changes)
+
+    def _apply_changes(self, changes: Iterable[RowChange]) -> None:
+        """Apply rows; one that fails does not keep the others back."""
         for change in changes:
-            self._on_change(self.copy.name, change)
+            try:
+                self._on_change(self.copy.name, change)
+            except Exception as exc:
+                log_event(
+                    "row_change_failed",
+                    Level.ERROR,
+                    table=self.copy.name,
+                    key=change.key,
+                    version=change.version,
+                    kind=type(exc).__name__,
+                    reason=str(exc),
+                )
 
     def apply_deferred(self) -> None:
         """Apply what was deferred and is due."""
-        for change in self.copy.apply_deferred(self._timer.now()):
-            self._on_change(self.copy.name, change)
+        self._apply_changes(self.copy.apply_deferred(self._timer.now()))
--- a/src/crocusward/entryd/_row_replicator.py
+++ b/src/crocusward/entryd/_row_replicator.py
@@ -246,5 +246,12 @@
         changes = [RowChange(str(key), value, int(ver)) for key, ver, value in rows]
         page = TablePage(int(version), changes, complete=bool(complete), era=era)
         return page, float(hold_s)
-    except (zlib.error, cbor2.CBORError, ValueError, TypeError) as exc:
+    except (
+        zlib.error,
+        cbor2.CBORError,
+        ValueError,
+        TypeError,
+        OverflowError,
+        RecursionError,
+    ) as exc:
         raise ValueError(f"malformed page: {type(exc).__name__}") from exc
--- a/src/crocusward/neighbours/_codec.py
+++ b/src/crocusward/neighbours/_codec.py
@@ -1,5 +1,6 @@
 """CBOR encoding of the messages: arrays that start with the message number."""
 
+import ipaddress
 from typing import Any
 
 import cbor2
@@ -34,6 +35,8 @@
 MAX_CRASH_AGE_MS = 86_400_000  # a day, longer than any crash is remembered
 DIGEST_BYTES = 16
 CRASH_ID_BYTES = 8
+MAX_COUNT = 2**53  # up to here a float holds each integer
+MAX_AGE_S = 1e9
 MAX_RATE_LIMIT_PER_S = 1e9  # above any value that a server may name
 
 Message = (
@@ -186,9 +189,7 @@
             _check_three_strings([fields[1], "", ""])
             return CrashReport(fields[1], [_decode_crashes(r) for r in fields[2]])
         if kind == MEMBER_LIST:
-            return MemberList(
-                [EntryHost(*_check_three_strings(item)) for item in fields[1]]
-            )
+            return MemberList([_decode_host(item) for item in fields[1]])
     except (
         cbor2.CBORError,
         ValueError,
@@ -209,16 +210,35 @@
     return list(values)
 
 
+def _decode_host(item: Any) -> EntryHost:
+    host, address, data_centre = _check_three_strings(item)
+    ipaddress.ip_address(address)
+    return EntryHost(host, address, data_centre)
+
+
+def _check_integer(value: Any, minimum: int) -> int:
+    if type(value) is not int or not minimum <= value <= MAX_COUNT:
+        raise ValueError("malformed integer")
+    return value
+
+
+def _check_number(value: Any, minimum: float, maximum: float) -> float:
+    # False also for values that are not numbers.
+    if type(value) not in (int, float) or not minimum <= value <= maximum:
+        raise ValueError("malformed number")
+    return float(value)
+
+
 def _decode_report(fields: list[Any]) -> HostReport:
     _, host, incarnation, data_centre, seq, age_s, positions, *rest = fields
     is_leaving, is_complete, in_flight, waiting, observations, idle_summaries = rest
     _check_three_strings([host, data_centre, ""])
     return HostReport(
         host,
-        int(incarnation),
+        _check_integer(incarnation, 0),
         data_centre,
-        int(seq),
-        store_age_s=float(age_s),
+        _check_integer(seq, 0),
+        store_age_s=_check_number(age_s, -MAX_AGE_S, MAX_AGE_S),
         positions={str(k): _decode_position(v) for k, v in positions.items()},
         is_leaving=bool(is_leaving),
         is_complete=bool(is_complete),
@@ -279,8 +299,9 @@
 
 def _check_counts(items: Any, minimum: int = 0) -> dict[str, int]:
     for name, count in items.items():
-        if not isinstance(name, str) or type(count) is not int or count < minimum:
-            raise ValueError("malformed count")
+        if not isinstance(name, str):
+            raise ValueError("malformed name")
+        _check_integer(count, minimum)
     return dict(items)
 
 
@@ -291,8 +312,8 @@
     return BackendObservation(
         backend,
         ObservationKind(kind),
-        int(running),
-        int(waiting),
-        float(slowdown),
-        float(cold_left_s),
+        _check_integer(running, -1),
+        _check_integer(waiting, 0),
+        _check_number(slowdown, 0.0, MAX_AGE_S),
+        _check_number(cold_left_s, -1.0, MAX_AGE_S),
     )
--- a/src/crocusward/platform/_changes.py
+++ b/src/crocusward/platform/_changes.py
@@ -6,6 +6,7 @@
 from ..errors import FindingsError
 from ..logs import Level, log_event
 from ._documents import decode_backend, decode_desired_state
+from ._fields import parse_ip_address
 from ._wire_names import (
     KEY_DESIRED_STATE,
     KEY_EVACUATED_PREFIX,
@@ -93,9 +94,15 @@
     """Return the host that a daemon registered, or None if the row is malformed."""
     try:
         address, data_centre = cbor2.loads(change.value or b"")
-    except (cbor2.CBORError, ValueError, TypeError) as exc:
-        log_event("daemon_row_ignored", Level.WARNING, host=change.key, reason=str(exc))
-        return None
-    if not isinstance(address, str) or not isinstance(data_centre, str):
+        parse_ip_address(address)
+        if not isinstance(data_centre, str) or not data_centre.isprintable():
+            raise ValueError("the data centre is not a printable string")
+    except (cbor2.CBORError, ValueError, TypeError, RecursionError) as exc:
+        log_event(
+            "daemon_row_ignored",
+            Level.WARNING,
+            host=change.key,
+            reason=f"{type(exc).__name__}: {exc}",
+        )
         return None
     return EntryHost(change.key, address, data_centre)
--- a/src/crocusward/platform/_documents.py
+++ b/src/crocusward/platform/_documents.py
@@ -1,6 +1,7 @@
 """Decodes the desired state and the backend entries that the store holds."""
 
 import json
+import re
 from collections import Counter
 from collections.abc import Iterator
 from typing import Any
@@ -15,12 +16,16 @@
 )
 from ..errors import Finding, FindingsError, SourceLocation
 from ..logs import Level, log_event
-from ._fields import FieldReader
+from ._fields import FieldReader, show
 
 # Whether a request may run more than once, by the kind of its route.
 _IDEMPOTENT_BY_KIND = {"safe": True, "unsafe": False, "upload": False}
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
 DEFAULT_MAX_ATTEMPTS = 1
+MAX_ID_CHARS = 200  # limit of the store for keys
+MAX_VERSION_DIGITS = 16
+_VERSION_PATTERN = re.compile(rf"[0-9a-fA-F]{{1,{MAX_VERSION_DIGITS}}}")
+_ID_PATTERN = re.compile(rf"[!-~]{{1,{MAX_ID_CHARS}}}")  # it is sent in a header
 
 
 def decode_desired_state(value: bytes) -> DesiredState:
@@ -75,9 +80,11 @@
         FindingsError: The entry is invalid; lists all findings.
     """
     root = FieldReader(id, _parse_json(id, value))
+    if _ID_PATTERN.fullmatch(id) is None:
+        root.add_finding("", f"the id {show(id)} cannot be sent in a header")
     state = root.get_text("state")
     if state not in _LEAVING_BY_STATE:
-        root.add_finding("state", f"unknown state {state!r}")
+        root.add_finding("state", f"unknown state {show(state)}")
     root.get_text("version")
     entry = BackendEntry(
         id,
@@ -104,11 +111,10 @@
 
 def _decode_version(root: FieldReader) -> int:
     text = root.get_text("version")
-    try:
-        return int(text, 16)
-    except ValueError:
-        root.add_finding("version", f"{text!r} is not a hexadecimal number")
+    if _VERSION_PATTERN.fullmatch(text) is None:
+        root.add_finding("version", f"{show(text)} is not a hexadecimal number")
         return 0
+    return int(text, 16)
 
 
 def _iter_rows(table: FieldReader) -> Iterator[FieldReader]:
@@ -118,6 +124,9 @@
     if not isinstance(columns, list) or not isinstance(rows, list):
         table.add_finding("", "must have lists named columns and rows")
         return
+    if not all(isinstance(name, str) for name in columns):
+        table.add_finding("columns", "must be a list of strings")
+        return
     for index, row in enumerate(rows):
         if not isinstance(row, list) or len(row) > len(columns):
             table.add_finding(
@@ -167,6 +176,9 @@
     split = fields.get_value("trafficSplit")
     if not split:
         return [WeightedService(fields.get_text("service"), 1.0)]
+    if not isinstance(split, list):
+        fields.add_finding("trafficSplit", "must be a list")
+        return []
     parts = []
     for index, part in enumerate(split):
         part_fields = FieldReader(
--- a/src/crocusward/platform/_fields.py
+++ b/src/crocusward/platform/_fields.py
@@ -1,13 +1,20 @@
 """Reads typed values from the platform's documents and collects findings."""
 
+import ipaddress
 import re
+import reprlib
 from collections.abc import Mapping
 from typing import Any
 
 from ..errors import Finding, FindingsError, SourceLocation
 
 MAX_PORT = 65_535
-_DURATION_PATTERN = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+MAX_PORT_DIGITS = 5
+MAX_INTEGER = 2**53  # up to here a float holds each integer
+MAX_NUMBER = 1e9
+MAX_DURATION_S = 86_400.0
+MAX_DURATION_CHARS = 24
+_DURATION_PATTERN = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 _MS_PER_S = 1000.0
 
 
@@ -15,13 +22,36 @@
     """Return a duration such as ``1500ms`` or ``2.5s`` in seconds.
 
     Raises:
-        ValueError: The value is not a duration.
+        ValueError: The value is not a duration of at most ``MAX_DURATION_S``.
     """
-    match = _DURATION_PATTERN.fullmatch(text) if isinstance(text, str) else None
+    match = None
+    if isinstance(text, str) and len(text) <= MAX_DURATION_CHARS:
+        match = _DURATION_PATTERN.fullmatch(text)
     if match is None:
-        raise ValueError(f"{text!r} is not a duration with the unit ms or s")
-    value = float(match[1])
-    return value / _MS_PER_S if match[2] == "ms" else value
+        raise ValueError(f"{show(text)} is not a duration with the unit ms or s")
+    value_s = float(match[1]) / (_MS_PER_S if match[2] == "ms" else 1.0)
+    if value_s > MAX_DURATION_S:
+        raise ValueError(f"{show(text)} is longer than {MAX_DURATION_S:g} s")
+    return value_s
+
+
+def show(value: object) -> str:
+    """Return a value for a finding, shortened; it may be large or deeply nested."""
+    return reprlib.repr(value)
+
+
+def parse_ip_address(text: object) -> str:
+    """Return the IP address of one host.
+
+    Raises:
+        ValueError: The value is not such an address.
+    """
+    if not isinstance(text, str):
+        raise ValueError(f"{show(text)} is not an IP address")
+    address = ipaddress.ip_address(text)
+    if address.is_unspecified or address.is_multicast:
+        raise ValueError(f"{show(text)} is not the address of a host")
+    return text
 
 
 def parse_address(text: object) -> tuple[str, int]:
@@ -30,10 +60,11 @@
     Raises:
         ValueError: The value is not an address with a port.
     """
-    host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not host or not colon or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
-        raise ValueError(f"{text!r} is not an address with a port")
-    return host, int(port)
+    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    is_number = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    if not is_number or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"{show(text)} is not an address with a port")
+    return parse_ip_address(host), int(port)
 
 
 class FieldReader:
@@ -93,34 +124,37 @@
         return list(self._data.items())
 
     def get_text(self, name: str, default: str | None = None) -> str:
-        """Return a non-empty string."""
+        """Return a non-empty string of printable characters."""
         value = self._data.get(name)
         if value is None and default is not None:
             return default
-        if not isinstance(value, str) or not value:
-            self._add_finding(name, f"{value!r} is not a non-empty string")
+        if not isinstance(value, str) or not value or not value.isprintable():
+            self._add_finding(name, f"{show(value)} is not a printable string")
             return ""
         return value
 
     def get_integer(
         self, name: str, *, minimum: int = 0, default: int | None = None
     ) -> int:
-        """Return an integer of at least ``minimum``."""
+        """Return an integer from ``minimum`` to ``MAX_INTEGER``."""
         value = self._data.get(name)
         if value is None and default is not None:
             return default
-        if type(value) is not int or value < minimum:
-            self._add_finding(name, f"{value!r} is not an integer >= {minimum}")
+        if type(value) is not int or not minimum <= value <= MAX_INTEGER:
+            self._add_finding(
+                name, f"{show(value)} is not an integer from {minimum} to {MAX_INTEGER}"
+            )
             return minimum
         return value
 
     def get_number(self, name: str, *, default: float | None = None) -> float:
-        """Return a number of at least 0."""
+        """Return a number from 0 to ``MAX_NUMBER``."""
         value = self._data.get(name)
         if value is None and default is not None:
             return default
-        if type(value) not in (int, float) or not value >= 0:
-            self._add_finding(name, f"{value!r} is not a number >= 0")
+        # False also for values that are not numbers.
+        if type(value) not in (int, float) or not 0 <= value <= MAX_NUMBER:
+            self._add_finding(name, f"{show(value)} is not a number >= 0")
             return 0.0
         return float(value)
 
--- a/src/crocusward/platform/_rows.py
+++ b/src/crocusward/platform/_rows.py
@@ -16,6 +16,7 @@
     StoreUnavailableError,
     StoreUncertainError,
 )
+from ..logs import Level, log_event
 from ._http import HttpAnswer, HttpClient
 from ._wire_names import STORE_ERA_HEADER
 
@@ -223,12 +224,15 @@
     rows = document.get("rows")
     if type(version) is not int or not isinstance(rows, list):
         raise StoreUnavailableError("malformed page: no version or no list of rows")
-    return TablePage(
-        version,
-        [_decode_row(row, version) for row in rows],
-        complete=complete,
-        era=era,
-    )
+    changes = []
+    for row in rows:
+        change = _decode_row(row, version)
+        if change.key.isprintable():
+            changes.append(change)
+        else:
+            # It could be neither logged nor sent to a neighbour.
+            log_event("store_row_ignored", Level.WARNING, key=ascii(change.key))
+    return TablePage(version, changes, complete=complete, era=era)
 
 
 def _decode_row(row: Any, page_version: int) -> RowChange:
--- a/src/crocusward/relay/_caller.py
+++ b/src/crocusward/relay/_caller.py
@@ -9,6 +9,7 @@
 
 from ..desired import CallerLimits
 from ..platform import DEADLINE_MS_HEADER, REQUEST_ID_HEADER
+from ..upstream import parse_digits
 from ._messages import CallerAnswer, CallerRequest, Headers, make_refusal
 
 MAX_PIPELINED_REQUESTS = 32  # per connection; reading pauses above it
@@ -261,8 +262,9 @@
             host = host.partition(":")[0]
         time_left = _find_header(self._headers, DEADLINE_MS_HEADER)
         time_left_s = None
-        if time_left is not None and time_left.isdigit():
-            time_left_s = int(time_left) / 1000.0
+        if time_left is not None:
+            time_left_ms = parse_digits(time_left)
+            time_left_s = None if time_left_ms is None else time_left_ms / 1000.0
         return CallerRequest(
             self._parser.get_method().decode("ascii"),
             target,
--- a/src/crocusward/relay/_exchange.py
+++ b/src/crocusward/relay/_exchange.py
@@ -26,6 +26,7 @@
     AnswerMatch,
     HttpAnswer,
     HttpPool,
+    parse_digits,
     parse_rate_limit,
     parse_retry_after,
     select_end_to_end_headers,
@@ -213,8 +214,8 @@
         for name, value in answer.headers:
             if name == BACKEND_LOAD_HEADER:
                 _parse_load_report(value, observation)
-            elif name == COLD_LEFT_MS_HEADER and value.isdigit():
-                observation.cold_left_s = int(value) / MS_PER_S
+            elif name == COLD_LEFT_MS_HEADER:
+                _parse_cold_time(value, observation)
             elif name == BACKEND_ID_HEADER and value.decode("latin-1") != load.entry.id:
                 return None
         observation.asked_s = asked_s
@@ -257,8 +258,8 @@
     for name, value in answer.headers:
         if name == BACKEND_LOAD_HEADER:
             _parse_load_report(value, observation)
-        elif name == COLD_LEFT_MS_HEADER and value.isdigit():
-            observation.cold_left_s = int(value) / MS_PER_S
+        elif name == COLD_LEFT_MS_HEADER:
+            _parse_cold_time(value, observation)
         elif name == NOT_RUN:
             has_not_run_header = True
         elif name == BODY_DIGEST_HEADER:
@@ -336,10 +337,17 @@
 
 def _parse_load_report(value: bytes, observation: BackendObservation) -> None:
     """Parse a load report: running, waiting, slots and, if present, slowdown."""
-    parts = value.split(b",")
-    if len(parts) < 3 or not all(part.strip().isdigit() for part in parts):
+    numbers = [parse_digits(part) for part in value.split(b",")]
+    known = [number for number in numbers if number is not None]
+    if len(known) < 3 or len(known) < len(numbers):
         return
-    observation.running = int(parts[0])
-    observation.waiting = int(parts[1])
-    if len(parts) > 3:
-        observation.slowdown = int(parts[3]) / UNLOADED_SLOWDOWN_PERCENT
+    observation.running = known[0]
+    observation.waiting = known[1]
+    if len(known) > 3:
+        observation.slowdown = known[3] / UNLOADED_SLOWDOWN_PERCENT
+
+
+def _parse_cold_time(value: bytes, observation: BackendObservation) -> None:
+    cold_left_ms = parse_digits(value)
+    if cold_left_ms is not None:
+        observation.cold_left_s = cold_left_ms / MS_PER_S
--- a/src/crocusward/upstream/__init__.py
+++ b/src/crocusward/upstream/__init__.py
@@ -6,6 +6,7 @@
 from ._headers import (
     HOP_BY_HOP_NAMES,
     HeaderNames,
+    parse_digits,
     parse_rate_limit,
     parse_retry_after,
     select_end_to_end_headers,
@@ -25,6 +26,7 @@
     "HttpUpstream",
     "Upstream",
     "UpstreamRequest",
+    "parse_digits",
     "parse_rate_limit",
     "parse_retry_after",
     "select_end_to_end_headers",
--- a/src/crocusward/upstream/_headers.py
+++ b/src/crocusward/upstream/_headers.py
@@ -22,6 +22,7 @@
 )
 # Bounded, so that a number without end is not read as a limit.
 _RATE_PATTERN = re.compile(rb"\d{1,9}(?:\.\d{1,9})?")
+MAX_DIGITS = 8  # a day in milliseconds
 MAX_RETRY_AFTER_S = 3600.0  # that a server may name
 
 
@@ -72,6 +73,12 @@
         self.rate_limit = rate_limit.lower().encode("ascii")
 
 
+def parse_digits(value: bytes) -> int | None:
+    """Return a number of up to ``MAX_DIGITS`` decimal digits, or None."""
+    text = value.strip()
+    return int(text) if text.isdigit() and len(text) <= MAX_DIGITS else None
+
+
 def parse_rate_limit(values: Sequence[bytes]) -> float:
     """Return the rate limit that an answer names, in requests per second.
 
--- a/src/crocusward/upstream/_pool.py
+++ b/src/crocusward/upstream/_pool.py
@@ -8,6 +8,7 @@
 from ..timing import Subscription, TimerService
 from ._connection import SILENT, HttpAnswer, HttpConnection, MatchRequest
 from ._encode import encode_request
+from ._headers import parse_digits
 from ._memory import AnswerMemoryBudget
 
 DEFAULT_MAX_CONNECTIONS = 16
@@ -334,6 +335,7 @@
         if name == b"keep-alive":
             for part in value.split(b","):
                 key, _, number = part.strip().partition(b"=")
-                if key.lower() == b"timeout" and number.isdigit():
-                    return KEEP_ALIVE_SHARE * int(number)
+                timeout_s = parse_digits(number)
+                if key.lower() == b"timeout" and timeout_s is not None:
+                    return KEEP_ALIVE_SHARE * timeout_s
     return None
