--- a/src/crocusward/devtools/entry_soak/_whole_hosts.py
+++ b/src/crocusward/devtools/entry_soak/_whole_hosts.py
@@ -259,18 +259,31 @@
             if host.directory.state is None or host.directory.state.version < version
         ]
 
-    def silence_inner(self, share: float) -> int:
-        """Let the open connections of a share of the hosts to others fall silent."""
+    def keep_inner_connections(self) -> None:
+        """Let hosts keep their connections to neighbours."""
+        for host in self.hosts.values():
+            host.row_replicator._pool._reuse = True
+
+    def silence(self, share: float, *, with_store: bool = False) -> int:
+        """Let open connections of a share of the hosts fall silent for good.
+
+        Args:
+            share: Share of the hosts whose connections to others fall silent.
+            with_store: Whether those to the store do, too.
+        """
         ips = [place[0] for place in self.places.values()]
         chosen = set(self.rng.sample(ips, int(share * len(ips))))
         return self.network.silence(
-            lambda one, other: one in chosen and other != STORE_IP
+            lambda one, other: one in chosen and (with_store or other != STORE_IP)
         )
 
     def close(self) -> None:
         """End the run."""
-        for task in asyncio.all_tasks(self.network):
-            task.cancel()
-        self.network.run_until_complete(asyncio.sleep(0.1))
+        for _ in range(2):  # the end of a task may start another one
+            tasks = asyncio.all_tasks(self.network)
+            for task in tasks:
+                task.cancel()
+            ended = asyncio.gather(*tasks, return_exceptions=True)
+            self.network.run_until_complete(ended)
         asyncio.set_event_loop(None)
         self.network.close()
--- a/src/crocusward/devtools/fault_soak/_faults.py
+++ b/src/crocusward/devtools/fault_soak/_faults.py
@@ -1,5 +1,6 @@
 """Faults of the soak; each begins, lasts, and ends."""
 
+import contextlib
 import random
 from collections.abc import Callable, Coroutine
 from typing import TYPE_CHECKING, Any
@@ -178,6 +179,24 @@
             target.mode, target.pause_s = "", 0.0
 
 
+@FAULTS.register("reader_pauses")
+async def pause_readers(world: "World", rng: random.Random, for_s: float) -> None:
+    """Freeze the daemons that read the store while a route moves.
+
+    Their listeners still accept connections, which stay silent.
+    """
+    chosen = rng.sample(world.daemons, max(1, len(world.daemons) // 3))
+    with contextlib.ExitStack() as stack:
+        for daemon in chosen:
+            stack.enter_context(world.unstable(daemon.address))
+            daemon.pause()
+        await world.sleep(rng.choice([0.0, 0.4]))
+        world.move_route()
+        await world.sleep(for_s + APPLY_S)
+        for daemon in chosen:
+            daemon.resume()
+
+
 @FAULTS.register("server_path")
 async def harm_path(world: "World", rng: random.Random, for_s: float) -> None:
     """Delay, reset, silence or cut one way the path to a server."""
--- a/src/crocusward/devtools/soak/__main__.py
+++ b/src/crocusward/devtools/soak/__main__.py
@@ -30,6 +30,7 @@
     "overload-cold",
     "probe-flood",
     "revert-config",
+    "trust-kept-connections",
     "trust-restored-rows",
 )
 NOT_FAULTS = frozenset(
--- a/src/crocusward/devtools/soak/_entry_plays.py
+++ b/src/crocusward/devtools/soak/_entry_plays.py
@@ -14,6 +14,7 @@
     LimitedFleet,
     LimitedServer,
     RestoredStoreRun,
+    WholeFleet,
     make_servers,
     play_faults,
 )
@@ -29,6 +30,10 @@
 COLD_FROM_S = 4.0
 COLD_PLAYED_S = 8.0
 RESTORED_RUNS = 5
+SILENCED_HOSTS = 16  # in each data centre, two groups
+CHANGES_BEFORE = 3  # which open connections between hosts
+STABLE_S = 3.0  # from the silence until changes must be in force in time
+CHANGE_BOUND_S = 2.0
 DATA_CENTRES = ("east-a", "east-b", "west-a")
 
 Play = Callable[[int, Totals, bool], None]
@@ -138,3 +143,44 @@
             run.play()
             found += run.findings
     _report(totals, InvariantName.CONFIG_MONOTONIC, found, 0)
+
+
+@ENTRY_PLAYS.register("trust-kept-connections")
+def play_silent_connections(seed: int, totals: Totals, is_faulty: bool) -> None:
+    """Play changes after connections of hosts have fallen silent without a reset.
+
+    Args:
+        seed: Seed of the run.
+        totals: Collects what was broken.
+        is_faulty: Whether the hosts keep connections to neighbours, and trust each for
+            as long as a change may take.
+
+    Raises:
+        ViolationsFound: A change was not in force everywhere in time.
+    """
+    rng = random.Random(seed)
+    found: list[str] = []
+    with contextlib.ExitStack() as stack:
+        if is_faulty:
+            stack.enter_context(
+                mock.patch.multiple(
+                    "crocusward.entryd._row_replicator",
+                    MAX_PULL_ATTEMPTS=1,
+                    PULL_TIMEOUT_S=CHANGE_BOUND_S,
+                )
+            )
+        fleet = WholeFleet(seed, SILENCED_HOSTS, DATAGRAM_LOSS)
+        stack.callback(fleet.close)
+        if is_faulty:
+            fleet.keep_inner_connections()
+        for _ in range(CHANGES_BEFORE):
+            fleet.write_state()
+            fleet.network.advance(0.5)
+        fleet.silence(rng.choice((0.7, 1.0)), with_store=rng.random() < 0.5)
+        fleet.network.advance(STABLE_S + rng.random())
+        version = fleet.write_state()
+        fleet.network.advance(CHANGE_BOUND_S)
+        late = fleet.late_hosts(version)
+        if late:
+            found.append(f"{len(late)} hosts lack a change after {CHANGE_BOUND_S:g} s")
+    _report(totals, InvariantName.CONFIG_IN_TIME, found, 0)
--- a/src/crocusward/invariants/_checks.py
+++ b/src/crocusward/invariants/_checks.py
@@ -23,6 +23,7 @@
     GRACEFUL_STOP = "graceful_stop"
     RATE_LIMIT = "rate_limit"
     CONFIG_MONOTONIC = "config_monotonic"
+    CONFIG_IN_TIME = "config_in_time"
 
 
 class Violation(Record):
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -16,6 +16,7 @@
 LIMIT_SEED = 2
 RESTORE_SEED = 3
 COLD_SEED = 4
+READER_SEED = 7
 NOTICE_SEEDS = {5: "server_says_leaving", 6: "server_pauses"}
 # Seeds that once failed, with the cause.
 REGRESSION_SEEDS = {
@@ -222,6 +223,10 @@
             with self.subTest(seed=seed, first=first):
                 self.play(seed, CI_DURATION_S, first)
 
+    def test_real_daemons_take_changes_while_readers_are_frozen(self):
+        """Guards against hosts that wait for a host which does not answer."""
+        self.play(READER_SEED, CI_DURATION_S, "reader_pauses")
+
     def test_seeds_that_failed_before(self):
         """Guards against the return of failures that the soak has found."""
         for seed, cause in REGRESSION_SEEDS.items():
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -20,7 +20,7 @@
         for seed, share in ((1, 0.7), (2, 0.4), (3, 1.0)):
             with self.subTest(seed=seed, share=share):
                 fleet = self.make_fleet(seed, 24)
-                fleet.silence_inner(share)
+                fleet.silence(share)
                 fleet.network.advance(4.5)
                 version = fleet.write_state()
                 opened = fleet.network.opened_count
@@ -35,7 +35,7 @@
         silenced = 0
         for _ in range(20):  # each new connection lasts about 1 ms
             fleet.network.advance(0.0006)
-            silenced += fleet.silence_inner(0.5)
+            silenced += fleet.silence(0.5)
         self.assertGreater(silenced, 5)
         fleet.network.advance(BOUND_S - 20 * 0.0006)
         self.assertEqual(fleet.late_hosts(version), [])
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,6 +19,7 @@
     "overload-cold": InvariantName.COLD_START,
     "probe-flood": InvariantName.PROBE_BUDGET,
     "revert-config": InvariantName.CONFIG_MONOTONIC,
+    "trust-kept-connections": InvariantName.CONFIG_IN_TIME,
     "trust-restored-rows": InvariantName.CONFIG_MONOTONIC,
 }
 MAX_ROUNDS = 12  # a planted fault needs the right event to show
