--- a/src/crocusward/devtools/fault_soak/_checks.py
+++ b/src/crocusward/devtools/fault_soak/_checks.py
@@ -23,6 +23,7 @@
 LIMIT_KNOWN_S = 0.5  # from an answer with a limit until the daemons know it
 HOME_PREFIX = "/home/"
 MAX_CRASHES = 3  # under one request, until it is known as one that crashes servers
+BLOCKED_TEXT = b"servers crashed under this request"
 MAX_LATE_RUNS = 3  # of such a request, sent later than STABLE_S after that
 
 
@@ -151,6 +152,10 @@
             ]
             if len(late) > MAX_LATE_RUNS:
                 found.append(f"crashes: {path} ran {len(late)} times more: {late}")
+        deadly = {path for path, _ in self.crashes}
+        for item in self.asked:
+            if item.path not in deadly and BLOCKED_TEXT in item.body:
+                found.append(f"crashes: innocent {item.id} {item.path} was blocked")
         return found
 
     def _at_most_once(self) -> list[str]:
--- a/src/crocusward/devtools/fault_soak/_faults.py
+++ b/src/crocusward/devtools/fault_soak/_faults.py
@@ -179,6 +179,17 @@
             target.mode, target.pause_s = "", 0.0
 
 
+@FAULTS.register("deadly_request")
+async def send_deadly(world: "World", rng: random.Random, for_s: float) -> None:
+    """Let callers send a request that crashes each server which runs it."""
+    path = f"/look/deadly-{len(world.played)}"
+    world.deadly.add(path)
+    entry = ("GET", path)
+    world.paths.append(entry)
+    await world.sleep(2.0 * for_s + 4.0)
+    world.paths.remove(entry)
+
+
 @FAULTS.register("reader_pauses")
 async def pause_readers(world: "World", rng: random.Random, for_s: float) -> None:
     """Freeze the daemons that read the store while a route moves.
--- a/src/crocusward/devtools/fault_soak/_world.py
+++ b/src/crocusward/devtools/fault_soak/_world.py
@@ -34,6 +34,7 @@
 START_S = 8.0  # in which all daemons must be ready
 CALM_S = 4.0  # after the faults, before the check that requests are served
 SLOW_S = 0.6
+DOWN_S = 3.0  # of a server that a request has crashed
 SERVED_SHARE = 0.9
 LAST_REQUESTS = 60
 
@@ -59,6 +60,8 @@
         self.proxies: dict[str, FaultProxy] = {}
         self.daemons: list[Daemon] = []
         self.played: list[str] = []
+        self.paths = list(PATHS)
+        self.deadly: set[str] = set()
         self._per_data_centre = daemons
         self._callers = callers
         self._directory = directory
@@ -88,7 +91,7 @@
             await daemon.start()
         await self._wait_ready()
         for _ in range(self._callers):
-            caller = Caller(self.daemons, self.rng, self.promises.asked, PATHS)
+            caller = Caller(self.daemons, self.rng, self.promises.asked, self.paths)
             task = asyncio.get_running_loop().create_task(caller.run(0.05))
             self._tasks.append(task)
 
@@ -238,6 +241,8 @@
             self.promises.notices,
             self.rng,
         )
+        target.deadly = self.deadly
+        target.on_crash = self._on_crash
         await target.listener.open()
         if proxy is None:
             proxy = FaultProxy(("127.0.0.1", target.listener.port))
@@ -272,8 +277,25 @@
         await self.add_target(target.service, target.data_centre)
         await self.remove_target(target)
 
+    def _on_crash(self, target: Target, path: str) -> None:
+        """Let a server that a request has crashed come back after a while."""
+        self.promises.crashes.append((path, self.now_s()))
+        self.proxies[target.id].close()
+        if target not in self.targets:
+            return  # it was leaving
+        self.targets.remove(target)
+
+        async def restart() -> None:
+            await self.sleep(DOWN_S)
+            self._put("servers", target.id, None)
+            await self.add_target(target.service, target.data_centre)
+
+        self._tasks.append(asyncio.get_running_loop().create_task(restart()))
+
     async def remove_target(self, target: Target) -> None:
         """Let a server leave in order."""
+        if target not in self.targets:
+            return  # it has crashed
         self.targets.remove(target)
         self._number += 1
         self._register(target, "draining")
@@ -284,6 +306,8 @@
 
     async def reuse_address(self, target: Target) -> None:
         """End a server without notice and give its address to another service."""
+        if target not in self.targets:
+            return  # it has crashed
         self.targets.remove(target)
         proxy = self.proxies[target.id]
         with self.unstable():
--- a/src/crocusward/devtools/soak/__main__.py
+++ b/src/crocusward/devtools/soak/__main__.py
@@ -22,6 +22,7 @@
     "cut-on-stop",
     "double-dispatch",
     "false-not-run",
+    "forget-crashes",
     "ignore-cold-rate",
     "ignore-drain",
     "ignore-leaving",
--- a/src/crocusward/devtools/soak/_entry_plays.py
+++ b/src/crocusward/devtools/soak/_entry_plays.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from unittest import mock
 
+from ...crashes import CrashRegistry
 from ...desired._past_rows import PastRows
 from ...invariants import InvariantName
 from ...placing import NO_LIMIT, BackendLoad, PermitIssuer
@@ -34,6 +35,11 @@
 CHANGES_BEFORE = 3  # which open connections between hosts
 STABLE_S = 3.0  # from the silence until changes must be in force in time
 CHANGE_BOUND_S = 2.0
+CRASHED_HOSTS = 8  # in each data centre
+CRASHED_SERVERS = 12
+CRASHES_PLAYED_S = 9.0
+CRASH_REQUESTS_PER_S = 30.0
+INNOCENTS = ("/look/a", "/look/b", "/look/c")
 DATA_CENTRES = ("east-a", "east-b", "west-a")
 
 Play = Callable[[int, Totals, bool], None]
@@ -184,3 +190,37 @@
         if late:
             found.append(f"{len(late)} hosts lack a change after {CHANGE_BOUND_S:g} s")
     _report(totals, InvariantName.CONFIG_IN_TIME, found, 0)
+
+
+@ENTRY_PLAYS.register("forget-crashes")
+def play_crashing_requests(seed: int, totals: Totals, is_faulty: bool) -> None:
+    """Play a request that crashes servers and comes again at any host.
+
+    Args:
+        seed: Seed of the run.
+        totals: Collects what was broken.
+        is_faulty: Whether the hosts do not count crashes.
+
+    Raises:
+        ViolationsFound: The request went on to servers, or an innocent one was blocked.
+    """
+    rng = random.Random(seed)
+    with contextlib.ExitStack() as stack:
+        if is_faulty:
+            stack.enter_context(mock.patch.object(CrashRegistry, "count", lambda *_: 0))
+        fleet = WholeFleet(seed, CRASHED_HOSTS, DATAGRAM_LOSS)
+        stack.callback(fleet.close)
+        fleet.add_servers(CRASHED_SERVERS)
+        fleet.network.advance(1.0)
+        deadly = [f"/look/deadly-{n}" for n in range(rng.choice((1, 1, 2)))]
+        fleet.deadly.update(deadly)
+        end_s = fleet.now_s() + CRASHES_PLAYED_S
+        while fleet.now_s() < end_s:
+            fleet.ask(rng.choice(deadly))
+            fleet.ask_for(rng.uniform(0.1, 0.6), CRASH_REQUESTS_PER_S, *INNOCENTS)
+            if fleet.servers and rng.random() < 0.1:
+                fleet.crash(rng.choice(list(fleet.servers.values())))
+        fleet.network.advance(2.0)
+        found = fleet.promises.broken()
+        count = len(fleet.promises.asked)
+    _report(totals, InvariantName.CRASHING_REQUEST, found, count)
--- a/src/crocusward/invariants/_checks.py
+++ b/src/crocusward/invariants/_checks.py
@@ -24,6 +24,7 @@
     RATE_LIMIT = "rate_limit"
     CONFIG_MONOTONIC = "config_monotonic"
     CONFIG_IN_TIME = "config_in_time"
+    CRASHING_REQUEST = "crashing_request"
 
 
 class Violation(Record):
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -17,6 +17,7 @@
 RESTORE_SEED = 3
 COLD_SEED = 4
 READER_SEED = 7
+CRASH_SEED = 8
 NOTICE_SEEDS = {5: "server_says_leaving", 6: "server_pauses"}
 # Seeds that once failed, with the cause.
 REGRESSION_SEEDS = {
@@ -144,6 +145,22 @@
         self.promises.unstable = [Span(2.0, 2.5, "127.0.0.9")]
         self.assertEqual(self.promises.broken(), [])
 
+    def test_request_that_goes_on_crashing_servers(self):
+        deadly = "/look/deadly"
+        self.promises.crashes = [(deadly, at_s) for at_s in (1.0, 2.0, 3.0)]
+        self.promises.asked = [asked(id=f"q{n}", path=deadly) for n in range(4)]
+        self.promises.runs = [
+            run(id=f"q{n}", path=deadly, at_s=6.5 + n) for n in range(4)
+        ]
+        self.assert_broken("crashes")
+        del self.promises.runs[-1]
+        self.assertEqual(self.promises.broken(), [])
+
+    def test_innocent_request_that_is_blocked(self):
+        text = b"not run: 3 servers crashed under this request"
+        self.promises.asked = [asked(status=503, body=text)]
+        self.assert_broken("crashes")
+
     def test_work_beyond_a_rate_limit(self):
         limit = LimitSpan("i-1", 1.0, 0.0)
         self.promises.limits = [limit]
@@ -227,6 +244,11 @@
         """Guards against hosts that wait for a host which does not answer."""
         self.play(READER_SEED, CI_DURATION_S, "reader_pauses")
 
+    def test_real_daemons_block_requests_that_crash_servers(self):
+        """Guards against a request that crashes one server after another."""
+        world = self.play(CRASH_SEED, CI_DURATION_S, "deadly_request")
+        self.assertGreaterEqual(len(world.promises.crashes), 3)
+
     def test_seeds_that_failed_before(self):
         """Guards against the return of failures that the soak has found."""
         for seed, cause in REGRESSION_SEEDS.items():
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,7 @@
     "cut-on-stop": InvariantName.GRACEFUL_STOP,
     "double-dispatch": InvariantName.AT_MOST_ONCE,
     "false-not-run": InvariantName.NOT_RUN,
+    "forget-crashes": InvariantName.CRASHING_REQUEST,
     "ignore-cold-rate": InvariantName.COLD_START,
     "ignore-drain": InvariantName.DATA_CENTRE_OUT,
     "ignore-leaving": InvariantName.BACKEND_LEAVING,
