--- a/src/crocusward/cli/_explain.py
+++ b/src/crocusward/cli/_explain.py
@@ -42,6 +42,12 @@
         "backend_removed",
     }
 )
+# What it knew of crashes of servers under the request.
+CRASH_EVENTS = frozenset(
+    {"crash_cleared", "crash_counted", "crash_learned", "crash_released"}
+)
+CRASH_CONTEXT_TIME = timedelta(minutes=10)  # for which a request may be blocked
+_DIGEST_PATTERN = re.compile(r" digest=([0-9a-f]+)")
 _EVENT_PATTERN = re.compile(r" event=(\S+)")
 _BACKEND_PATTERN = re.compile(r" backend=([^\s\"]+)")
 
@@ -96,6 +102,11 @@
         for item in request_lines
         for name in _BACKEND_PATTERN.findall(f" {item.text}")
     }
+    digests = {
+        name
+        for item in request_lines
+        for name in _DIGEST_PATTERN.findall(f" {item.text}")
+    }
     known = {item.text for item in request_lines}
     found = []
     for line in lines:
@@ -107,10 +118,14 @@
         is_backend_event = event[1] in BACKEND_EVENTS and bool(
             backends.intersection(_BACKEND_PATTERN.findall(f" {text}"))
         )
+        is_crash_event = event[1] in CRASH_EVENTS and bool(
+            digests.intersection(_DIGEST_PATTERN.findall(f" {text}"))
+        )
         time_text = time_text.removeprefix("time=")
-        if event[1] in STATE_EVENTS or is_backend_event:
+        if event[1] in STATE_EVENTS or is_backend_event or is_crash_event:
             time = _parse_time(time_text)
-            if time is not None and begin <= time <= end:
+            first = end - CRASH_CONTEXT_TIME if is_crash_event else begin
+            if time is not None and first <= time <= end:
                 found.append(LogLine(time_text, source, text))
     return found
 
--- a/src/crocusward/devtools/entry_soak/_whole_hosts.py
+++ b/src/crocusward/devtools/entry_soak/_whole_hosts.py
@@ -283,7 +283,7 @@
             tasks = asyncio.all_tasks(self.network)
             for task in tasks:
                 task.cancel()
-            ended = asyncio.gather(*tasks, return_exceptions=True)
-            self.network.run_until_complete(ended)
+            if tasks:
+                self.network.run_until_complete(asyncio.wait(tasks))
         asyncio.set_event_loop(None)
         self.network.close()
--- a/src/crocusward/entryd/_exposition.py
+++ b/src/crocusward/entryd/_exposition.py
@@ -35,6 +35,8 @@
         "store_rows_kept": sum(
             item.copy.kept_count for item in process.followers.values()
         ),
+        "crashing_requests": len(process.crash_watch.registry.records),
+        "crashing_requests_blocked": process.crash_watch.registry.count_blocked(),
         "invariant_violations": sum(process.invariants.violations.values()),
         "log_lines_dropped": process.dropped_log_lines,
     }
@@ -51,6 +53,9 @@
     lines.append(f"# TYPE {PREFIX}backend_notices_total counter")
     for event, count in process.notices.events.items():
         lines.append(f'{PREFIX}backend_notices_total{{event="{event}"}} {count}')
+    lines.append(f"# TYPE {PREFIX}crash_events_total counter")
+    for event, count in process.crash_watch.events.items():
+        lines.append(f'{PREFIX}crash_events_total{{event="{event}"}} {count}')
     _add_connections(lines, process)
     return ("\n".join(lines) + "\n").encode("utf-8")
 
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -442,8 +442,10 @@
                 call.crash_check = self._crash_watch.examine(
                     call.req, call.selection_req.id, load
                 )
-            elif result.end is ExchangeEnd.ANSWERED and call.digest is not None:
-                self._crash_watch.note_answer(call.digest, call.selection_req.id, load)
+            elif result.end is ExchangeEnd.ANSWERED:
+                digest = call.digest or self._crash_watch.find(call.req)
+                if digest is not None:
+                    self._crash_watch.note_answer(digest, call.selection_req.id, load)
             self._log.log_ejection_change(call, load, observation, was_ejected)
         self._notifier.notify_change(load, observation)
         self.dispatch_queued(call.selection_req.service)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -1,10 +1,13 @@
 """Requests that crash servers, met by many whole daemons in virtual time."""
 
+import io
 import random
+import re
 import unittest
 
 import cbor2
 
+from crocusward.cli._explain import explain
 from crocusward.crashes import (
     MAX_CRASHES,
     CrashRegistry,
@@ -14,12 +17,15 @@
 )
 from crocusward.crashes._registry import BLOCK_LIFETIME_S, MAX_RECORDS
 from crocusward.devtools.entry_soak import WholeFleet
+from crocusward.entryd._control import ControlHandler
+from crocusward.logs import start_logs
 from crocusward.neighbours import (
     CrashReport,
     MessageError,
     decode_message,
     encode_message,
 )
+from crocusward.relay import CallerRequest
 
 DEADLY = "/look/deadly"
 DIGEST = b"0123456789abcdef"
@@ -129,6 +135,42 @@
         for host in fleet.hosts.values():
             self.assertEqual(host.crash_watch.registry.records, {})
 
+    def test_logs_and_the_control_address_explain_a_block(self):
+        """Guards against refusals whose crashes cannot be found."""
+        stream = io.StringIO()
+        pipe = start_logs(stream)
+        fleet = self.make_fleet(9, 4, 8)
+        self.play_deadly(fleet, 4.0, 3.0)
+        fleet.network.advance(1.0)
+        host = next(iter(fleet.hosts.values()))
+        item = fleet.ask(DEADLY, host.facts.name)
+        fleet.network.advance(0.5)
+        control = ControlHandler(host)
+        listed = self.ask_control(fleet, control, "GET", "/crashes")
+        metrics = self.ask_control(fleet, control, "GET", "/metrics").body.decode()
+        pipe.buffer.flush()
+        pipe.close()
+        text = stream.getvalue()
+        found = explain(item.id, [("hosts", text.splitlines())])
+        events = " ".join(line.text for line in found)
+        for name in ("request_blocked", "crash_counted", "crash_learned"):
+            self.assertIn(f"event={name} ", events)
+        digest = re.search(r"digest=(\w+) crashes=3", listed.body.decode())[1]
+        self.assertIn(f"digest={digest}", events)
+        self.assertIn("crashing_requests_blocked 1", metrics)
+        path = f"/crashes/release?{digest}"
+        self.assertEqual(self.ask_control(fleet, control, "GET", path).status, 404)
+        self.assertEqual(self.ask_control(fleet, control, "POST", path).status, 200)
+        fleet.network.advance(0.5)
+        for host in fleet.hosts.values():
+            self.assertEqual(host.crash_watch.registry.count_blocked(), 0)
+
+    def ask_control(self, fleet, control, method, target):
+        req = CallerRequest(
+            method, target, "h", [], id=b"", received_s=0.0, time_left_s=None
+        )
+        return fleet.network.run_until_complete(control.answer(req))
+
 
 class RegistryTest(unittest.TestCase):
     def setUp(self):
