Bound the wait of a repeat for the check of its server

A server whose machine went silent after a reset held an idempotent request for up to 0.6 s: two connection attempts of 0.3 s. The second attempt now follows only an accepted connection, and the repeat waits for 0.1 s at most; the check itself goes on.

--- a/src/crocusward/relay/_crash_watch.py
+++ b/src/crocusward/relay/_crash_watch.py
@@ -151,16 +151,17 @@
             self.on_change(digest)
 
     async def _is_gone(self, load: BackendLoad) -> bool:
-        is_gone = await self._client.refuses_connections(load, CHECK_TIMEOUT_S)
-        if not is_gone:
+        is_listening = await self._client.is_listening(load, CHECK_TIMEOUT_S)
+        if is_listening:
             await self._timer.sleep(CHECK_SETTLE_S)
             if not self._client.idle_connections(load):
-                is_gone = await self._client.refuses_connections(load, CHECK_TIMEOUT_S)
-        if is_gone:
-            self._notify(
-                load, BackendObservation(load.entry.id, ObservationKind.UNREACHABLE)
-            )
-        return is_gone
+                is_listening = await self._client.is_listening(load, CHECK_TIMEOUT_S)
+        if is_listening is not False:
+            return False
+        self._notify(
+            load, BackendObservation(load.entry.id, ObservationKind.UNREACHABLE)
+        )
+        return True
 
     def note_answer(self, digest: bytes, request_id: str, load: BackendLoad) -> None:
         """Clear a request that a server survived."""
--- a/src/crocusward/relay/_exchange.py
+++ b/src/crocusward/relay/_exchange.py
@@ -178,18 +178,19 @@
         exchange.observation.answered_s = boot_time_s()
         return exchange
 
-    async def refuses_connections(self, load: BackendLoad, timeout_s: float) -> bool:
-        """Return whether nobody listens at a server's address.
+    async def is_listening(self, load: BackendLoad, timeout_s: float) -> bool | None:
+        """Return whether a server accepts connections, None if that is unknown.
 
         A connection that is accepted is kept for the next request.
         """
         try:
             await self._pool.open_idle(*load.entry.address, timeout_s)
         except NotSentError as exc:
-            return isinstance(exc.__cause__, ConnectionRefusedError)
+            is_refused = isinstance(exc.__cause__, ConnectionRefusedError)
+            return False if is_refused else None
         finally:
             load.idle_connections = self.idle_connections(load)
-        return False
+        return True
 
     async def probe(
         self, load: BackendLoad, path: str, timeout_s: float
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -36,6 +36,7 @@
 STARTING_RETRY_AFTER_S = 0.5  # a desired state is normally loaded by then
 BODY_MEMORY_SHARE = 0.25  # share of the host's memory for request bodies
 BYTES_PER_MB = 1 << 20
+MAX_CRASH_CHECK_WAIT_S = 0.1  # before a repeat, for servers that stay silent
 # Crashes under a request after which this host does not repeat it by itself.
 MAX_CRASHES_TO_REPEAT = 1
 # Reasons why a selected server got no byte of a request.
@@ -262,12 +263,12 @@
             self._losing_attempts.cancel_later(running)
 
     async def _wait_for_crash_check(self, call: Call) -> None:
-        """Wait for what a repeat depends on; it goes on if the caller leaves."""
+        """Wait for a while for what a repeat depends on; the check goes on."""
         check = call.crash_check
         assert check is not None
         call.crash_check = None
         if call.selection_req.route.idempotent:
-            await asyncio.shield(check)
+            await asyncio.wait([check], timeout=MAX_CRASH_CHECK_WAIT_S)
             call.digest = self._crash_watch.find(call.req)
 
     async def _wait_for_end(
