--- a/src/crocusward/errors/_errors.py
+++ b/src/crocusward/errors/_errors.py
@@ -28,11 +28,13 @@
     Attributes:
         reused: True if the connection had served an earlier request.
         idle_s: Idle time of the connection before the request, in seconds.
+        was_reset: True if the connection broke with an error, rather than in order.
     """
 
     code = "exchange_lost"
     reused = False
     idle_s = 0.0
+    was_reset = False
 
 
 class ConflictError(CrocusError):
--- a/src/crocusward/relay/_exchange.py
+++ b/src/crocusward/relay/_exchange.py
@@ -23,6 +23,8 @@
 from ..upstream import (
     CUT,
     HOP_BY_HOP_NAMES,
+    LATE,
+    SILENT,
     AnswerMatch,
     HttpAnswer,
     HttpPool,
@@ -165,7 +167,7 @@
             return _make_not_sent(entry.id, exc)
         except ExchangeLostError as exc:
             self._reduce_idle_limit(entry.service, exc)
-            is_silent = "in time" in str(exc)
+            is_silent = exc.code in (SILENT, LATE)
             kind = ObservationKind.SILENT if is_silent else ObservationKind.FAILED
             return Exchange(
                 ExchangeEnd.UNKNOWN,
@@ -232,7 +234,7 @@
         connection that broke with an error counts, not one that was closed in order or
         gave no answer in time.
         """
-        if exc.reused and "broke" in str(exc) and exc.idle_s > 0.0:
+        if exc.reused and exc.was_reset and exc.idle_s > 0.0:
             known_s = self.idle_limit_s.get(service, exc.idle_s)
             self.idle_limit_s[service] = min(known_s, exc.idle_s) * 0.5
 
--- a/src/crocusward/upstream/__init__.py
+++ b/src/crocusward/upstream/__init__.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 client for backend servers; it never retries a request."""
 
 from ._client import HttpUpstream
-from ._connection import CUT, AnswerMatch, HttpAnswer
+from ._connection import CUT, LATE, SILENT, AnswerMatch, HttpAnswer
 from ._encode import has_no_stray_control_chars
 from ._headers import (
     HOP_BY_HOP_NAMES,
@@ -17,6 +17,8 @@
 
 __all__ = [
     "CUT",
+    "LATE",
+    "SILENT",
     "HOP_BY_HOP_NAMES",
     "AnswerMatch",
     "AnswerMemoryBudget",
--- a/src/crocusward/upstream/_connection.py
+++ b/src/crocusward/upstream/_connection.py
@@ -21,6 +21,7 @@
 # Codes of the errors of exchanges in which no byte of an answer arrived.
 SILENT = "silent"  # in time
 CUT = "cut"  # before the connection ended
+LATE = "late"  # code of the error of an exchange whose answer was begun in time only
 _NO_BODY_STATUSES = frozenset({204, 304})
 
 Headers = list[tuple[bytes, bytes]]
@@ -295,7 +296,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange in progress."""
         reason = f"the connection broke: {exc}" if exc else "the connection closed"
-        self._close(reason, self._end_code())
+        self._close(reason, self._end_code(), was_reset=exc is not None)
 
     def _end_code(self) -> str | None:
         return None if self._has_received else CUT
@@ -415,7 +416,7 @@
         if left_s > 0.0:
             self._schedule_timeout(left_s)
         else:
-            code = None if self._has_received else SILENT
+            code = LATE if self._has_received else SILENT
             self._fail("no complete answer in time", code)
 
     def _fail(self, reason: str, code: str | None = None) -> None:
@@ -423,7 +424,9 @@
             self._transport.abort()
         self._close(reason, code)
 
-    def _close(self, reason: str, code: str | None = None) -> None:
+    def _close(
+        self, reason: str, code: str | None = None, *, was_reset: bool = False
+    ) -> None:
         if self.is_closed:
             return
         self.is_closed = True
@@ -434,4 +437,6 @@
             self.on_closed(self)
         answer = self._pending_answer
         if answer is not None and not answer.done():
-            answer.set_exception(ExchangeLostError(reason, code=code))
+            lost = ExchangeLostError(reason, code=code)
+            lost.was_reset = was_reset
+            answer.set_exception(lost)
