Keep blocked requests in the store, for hosts that all start at once

Cause, by the logs: all daemons had been killed at once, so that nobody was left to tell; the request crashed i-13, i-14, i-6 and, on its own repeat beside these, i-15. Now the host that counts the crash which blocks a request writes a row into the table of hosts, which each host reads at its start anyway: one call for a blocked request, none while nothing crashes. A release deletes it; rows whose time is over are deleted by the host that meets them. Test: all 12 daemons start at once, then the request is sent to each: 503 and no crash (before: servers crash again).

--- a/src/crocusward/cli/_explain.py
+++ b/src/crocusward/cli/_explain.py
@@ -44,7 +44,13 @@
 )
 # What it knew of crashes of servers under the request.
 CRASH_EVENTS = frozenset(
-    {"crash_cleared", "crash_counted", "crash_learned", "crash_released"}
+    {
+        "crash_cleared",
+        "crash_counted",
+        "crash_learned",
+        "crash_loaded",
+        "crash_released",
+    }
 )
 CRASH_CONTEXT_TIME = timedelta(minutes=10)  # for which a request may be blocked
 _DIGEST_PATTERN = re.compile(r" digest=([0-9a-f]+)")
--- a/src/crocusward/crashes/__init__.py
+++ b/src/crocusward/crashes/__init__.py
@@ -3,7 +3,7 @@
 Nothing here does I/O; callers pass the time in.
 """
 
-from ._identity import crash_id, request_digest, target_digest
+from ._identity import DIGEST_BYTES, crash_id, request_digest, target_digest
 from ._registry import (
     MAX_CRASHES,
     CrashedRequest,
@@ -12,6 +12,7 @@
 )
 
 __all__ = [
+    "DIGEST_BYTES",
     "MAX_CRASHES",
     "CrashRegistry",
     "CrashSummary",
--- a/src/crocusward/crashes/_identity.py
+++ b/src/crocusward/crashes/_identity.py
@@ -5,6 +5,7 @@
 
 TARGET_DIGEST_BYTES = 4  # compared before a body is hashed
 REST_DIGEST_BYTES = 12
+DIGEST_BYTES = TARGET_DIGEST_BYTES + REST_DIGEST_BYTES
 CRASH_ID_BYTES = 8
 # Headers that identify the caller; others, such as ids and deadlines, differ each time.
 CALLER_HEADERS = frozenset({b"authorization"})
--- a/src/crocusward/devtools/entry_soak/_whole_hosts.py
+++ b/src/crocusward/devtools/entry_soak/_whole_hosts.py
@@ -100,6 +100,12 @@
         self.hosts[name] = host
         await host.start()
 
+    def stop(self, name: str) -> None:
+        """End the daemon of a host at once."""
+        self.network.shut(self.places[name][0])
+        for task in self.hosts.pop(name)._tasks:
+            task.cancel()
+
     def _make_facts(self, name: str) -> HostFacts:
         ip, data_centre = self.places[name]
         seeds = [place[0] for place in self.places.values()][::7][:3]
--- a/src/crocusward/entryd/_crash_exchange.py
+++ b/src/crocusward/entryd/_crash_exchange.py
@@ -72,13 +72,13 @@
         self._all_addresses = all_addresses
         self._group_addresses = group_addresses
         self._changed: set[bytes] = set()
-        watch.on_change = self._on_change
+        watch.observers.append(self._on_change)
 
     def start(self) -> None:
         """Begin to share with the group."""
         self._timer.every(SHARE_PERIOD_S, self._share)
 
-    def _on_change(self, digest: bytes) -> None:
+    def _on_change(self, digest: bytes, was_blocked: bool) -> None:
         if not self._changed:
             self._timer.call_later(SEND_DELAY_S, self._send_changes)
         self._changed.add(digest)
--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -56,6 +56,7 @@
 from ..timing import LoopTimer, boot_time_s
 from ..upstream import AnswerMemoryBudget, HttpPool
 from ._control import ControlHandler
+from ._crash_rows import CrashRowKeeper
 from ._hub import NeighbourHub
 from ._reader import READ_TIMEOUT_S, TableFollower
 from ._row_replicator import RowReplicator
@@ -212,6 +213,15 @@
             self.rate_limits,
         )
         self.request_log = RequestLog(self.timer.now, self.directory, self.sampler)
+        self._crash_rows = CrashRowKeeper(
+            self.store,
+            self.crash_watch,
+            self.timer,
+            self._rng,
+            self.sampler,
+            lambda: time.time() * 1000.0,
+            self._start_task,
+        )
         self.relay = Relay(
             self.timer,
             self.directory,
@@ -417,6 +427,7 @@
                 pause_s = REGISTER_PAUSE_S * (0.5 + self._rng.random())
                 await self.timer.sleep(pause_s)
                 continue
+            self._crash_rows.load(page.changes)
             hosts = [decode_daemon(row) for row in page.changes]
             self.hub.add_hosts([host for host in hosts if host is not None])
             return
--- a/src/crocusward/neighbours/_codec.py
+++ b/src/crocusward/neighbours/_codec.py
@@ -5,7 +5,7 @@
 
 import cbor2
 
-from ..crashes import CrashSummary
+from ..crashes import DIGEST_BYTES, CrashSummary
 from ..desired import NO_ERA, NO_VERSION, EntryHost, TablePosition
 from ..errors import CrocusError
 from ._messages import (
@@ -33,7 +33,6 @@
 RATE_LIMITS = 8
 CRASHES = 9
 MAX_CRASH_AGE_MS = 86_400_000  # a day, longer than any crash is remembered
-DIGEST_BYTES = 16
 CRASH_ID_BYTES = 8
 MAX_COUNT = 2**53  # up to here a float holds each integer
 MAX_AGE_S = 1e9
--- a/src/crocusward/platform/__init__.py
+++ b/src/crocusward/platform/__init__.py
@@ -1,7 +1,14 @@
 """Platform services: interfaces, HTTP clients, wire names and document formats."""
 
 from ._boot_settings import decode_boot_settings, read_boot_settings
-from ._changes import apply_row_change, decode_daemon, encode_daemon
+from ._changes import (
+    apply_row_change,
+    crash_row_key,
+    decode_crash_row,
+    decode_daemon,
+    encode_crash_row,
+    encode_daemon,
+)
 from ._clients import (
     HOST_LISTS,
     OBJECT_STORES,
@@ -42,6 +49,9 @@
 )
 
 __all__ = [
+    "crash_row_key",
+    "decode_crash_row",
+    "encode_crash_row",
     "BACKEND_ID_HEADER",
     "BACKEND_LOAD_HEADER",
     "BODY_DIGEST_HEADER",
--- a/src/crocusward/platform/_changes.py
+++ b/src/crocusward/platform/_changes.py
@@ -2,18 +2,22 @@
 
 import cbor2
 
+from ..crashes import DIGEST_BYTES, CrashSummary
 from ..desired import Directory, EntryHost, RowChange
 from ..errors import FindingsError
 from ..logs import Level, log_event
 from ._documents import decode_backend, decode_desired_state
 from ._fields import parse_ip_address
 from ._wire_names import (
+    KEY_CRASH_PREFIX,
     KEY_DESIRED_STATE,
     KEY_EVACUATED_PREFIX,
     TABLE_BACKENDS,
     TABLE_OPERATOR,
 )
 
+MS_PER_S = 1000.0
+
 
 def apply_row_change(
     directory: Directory, table: str, change: RowChange, *, is_first: bool = False
@@ -90,8 +94,51 @@
     return cbor2.dumps([daemon.address, daemon.data_centre])
 
 
+def crash_row_key(digest: bytes) -> str:
+    """Return the key of the row of a request under which servers crashed."""
+    return f"{KEY_CRASH_PREFIX}{digest.hex()}"
+
+
+def encode_crash_row(summary: CrashSummary, unix_ms: float) -> bytes:
+    """Return the value of the row of a request under which servers crashed."""
+    return cbor2.dumps(
+        {
+            crash: int(unix_ms - MS_PER_S * age_s)
+            for crash, age_s in summary.crash_ages_s.items()
+        }
+    )
+
+
+def decode_crash_row(change: RowChange, unix_ms: float) -> CrashSummary | None:
+    """Return what a row says of a request, or None if it is another or malformed."""
+    if not change.key.startswith(KEY_CRASH_PREFIX):
+        return None
+    try:
+        digest = bytes.fromhex(change.key[len(KEY_CRASH_PREFIX) :])
+        if len(digest) != DIGEST_BYTES:
+            raise ValueError("the digest has another length")
+        ages_s = {}
+        for crash, at_ms in cbor2.loads(change.value or b"").items():
+            if type(crash) is not bytes or type(at_ms) is not int:
+                raise ValueError("not a time of a crash")
+            ages_s[crash] = max(0.0, unix_ms - at_ms) / MS_PER_S
+    except (
+        cbor2.CBORError,
+        ValueError,
+        TypeError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as exc:
+        log_event("crash_row_ignored", Level.WARNING, key=change.key, reason=str(exc))
+        return None
+    return CrashSummary(digest, ages_s)
+
+
 def decode_daemon(change: RowChange) -> EntryHost | None:
     """Return the host that a daemon registered, or None if the row is malformed."""
+    if change.key.startswith(KEY_CRASH_PREFIX):
+        return None
     try:
         address, data_centre = cbor2.loads(change.value or b"")
         parse_ip_address(address)
--- a/src/crocusward/platform/_wire_names.py
+++ b/src/crocusward/platform/_wire_names.py
@@ -6,6 +6,9 @@
 TABLE_HOSTS = "crocusward-hosts"
 REPLICATED_TABLES = (TABLE_OPERATOR, TABLE_BACKENDS)
 
+# Rows of TABLE_HOSTS that are about blocked requests, not hosts; both are read at once.
+KEY_CRASH_PREFIX = "crash/"
+
 KEY_DESIRED_STATE = "config"
 KEY_EVACUATED_PREFIX = "evacuate/"
 
--- a/src/crocusward/relay/_crash_watch.py
+++ b/src/crocusward/relay/_crash_watch.py
@@ -42,12 +42,13 @@
 
     Attributes:
         events: Number of events by name.
-        on_change: Called with the digest of a request whose count this host changed.
+        observers: Called when this host changes the count of a request, with its
+            digest and whether it was blocked before.
     """
 
     __slots__ = (
         "events",
-        "on_change",
+        "observers",
         "registry",
         "_client",
         "_timer",
@@ -65,7 +66,7 @@
         notify: Callable[[BackendLoad, BackendObservation], None],
     ) -> None:
         self.events: Counter[str] = Counter()
-        self.on_change: Callable[[bytes], object] = lambda digest: None
+        self.observers: list[Callable[[bytes, bool], object]] = []
         self.registry = registry
         self._client = client
         self._timer = timer
@@ -138,6 +139,7 @@
         if not await check:
             return
         digest = _digest(req)
+        was_blocked = self.registry.is_blocked(digest)
         if self.registry.add_crash(digest, crash):
             self.events["crash_counted"] += 1
             self._sampler.log(
@@ -148,7 +150,11 @@
                 backend=entry.id,
                 crashes=self.registry.count(digest),
             )
-            self.on_change(digest)
+            self._tell(digest, was_blocked)
+
+    def _tell(self, digest: bytes, was_blocked: bool) -> None:
+        for observer in self.observers:
+            observer(digest, was_blocked)
 
     async def _is_gone(self, load: BackendLoad) -> bool:
         is_listening = await self._client.is_listening(load, CHECK_TIMEOUT_S)
@@ -165,6 +171,7 @@
 
     def note_answer(self, digest: bytes, request_id: str, load: BackendLoad) -> None:
         """Clear a request that a server survived."""
+        was_blocked = self.registry.is_blocked(digest)
         if self.registry.clear(digest):
             self.events["crash_cleared"] += 1
             self._sampler.log(
@@ -173,7 +180,7 @@
                 digest=show_digest(digest),
                 backend=load.entry.id,
             )
-            self.on_change(digest)
+            self._tell(digest, was_blocked)
 
     def release(self, digest_text: str) -> int:
         """Release requests by the beginning of their digest, as operators ask for.
@@ -186,12 +193,15 @@
             for digest in self.registry.list_digests()
             if digest_text and digest.hex().startswith(digest_text)
         ]
-        released = [digest for digest in found if self.registry.clear(digest)]
-        for digest in released:
-            self.events["crash_released"] += 1
-            self._sampler.log("crash_released", digest=show_digest(digest))
-            self.on_change(digest)
-        return len(released)
+        count = 0
+        for digest in found:
+            was_blocked = self.registry.is_blocked(digest)
+            if self.registry.clear(digest):
+                count += 1
+                self.events["crash_released"] += 1
+                self._sampler.log("crash_released", digest=show_digest(digest))
+                self._tell(digest, was_blocked)
+        return count
 
 
 def _digest(req: CallerRequest) -> bytes:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -104,6 +104,34 @@
         self.assertEqual(item.status, 503)
         self.assertEqual(len(fleet.promises.crashes), before)
 
+    def test_a_restart_of_all_hosts_at_once_forgets_no_block(self):
+        """Guards against hosts that all start at once and know nothing."""
+        fleet = self.make_fleet(10, 6, 12)
+        self.play_deadly(fleet, 3.0, 4.0)
+        fleet.network.advance(2.0)
+        before = len(fleet.promises.crashes)
+        for name in list(fleet.hosts):
+            fleet.stop(name)
+        for name in fleet.places:
+            fleet.network.create_task(fleet.start(name))
+        fleet.network.advance(3.0)
+        asked = [fleet.ask(DEADLY, name) for name in fleet.hosts]
+        fleet.network.advance(2.0)
+        self.assertEqual({item.status for item in asked}, {503})
+        self.assertEqual(len(fleet.promises.crashes), before)
+        watch = next(iter(fleet.hosts.values())).crash_watch
+        (digest,) = watch.registry.records
+        self.assertEqual(self.release(fleet, watch, digest.hex()), 1)
+        fleet.network.advance(1.0)
+        keys = fleet.store.rows("crocusward-hosts")
+        self.assertEqual([key for key in keys if key.startswith("crash/")], [])
+
+    def release(self, fleet, watch, digest):
+        async def release():
+            return watch.release(digest)
+
+        return fleet.network.run_until_complete(release())
+
     def test_a_released_request_may_run_again(self):
         """Guards against a block that operators cannot lift on all hosts."""
         fleet = self.make_fleet(6)
@@ -112,7 +140,7 @@
         fleet.network.advance(2.0)
         watch = next(iter(fleet.hosts.values())).crash_watch
         (digest,) = watch.registry.records
-        self.assertEqual(watch.release(digest.hex()[:8]), 1)
+        self.assertEqual(self.release(fleet, watch, digest.hex()[:8]), 1)
         fleet.network.advance(3.0)
         asked = [fleet.ask(DEADLY, name) for name in fleet.hosts]
         fleet.network.advance(2.0)
