--- a/src/crocusward/devtools/entry_soak/_whole_hosts.py
+++ b/src/crocusward/devtools/entry_soak/_whole_hosts.py
@@ -10,7 +10,7 @@
 from typing import Any
 from unittest import mock
 
-from ...desired import FleetBounds, HostFacts, HostLimits
+from ...desired import HostFacts, HostLimits
 from ...entryd._process import EntryProcess
 from ...logs import LogPipe
 from ...platform import REQUEST_ID_HEADER
@@ -19,6 +19,7 @@
 from ..fault_soak._checks import Promises
 from ..fault_soak._targets import Target
 from ..standins import RowsStandin
+from ._host import BOUNDS
 from ._network import SimulatedNetwork, SimulatedPool
 
 REGIONS = {"east-a": "east", "west-a": "west"}
@@ -27,20 +28,8 @@
 CALLER_PORT, READY_PORT = 8000, 8001
 PEER_PORTS = (7000, 7015)
 START_S = 6.0  # until all daemons know each other
-BOUND_S = 2.0  # for changes of the desired state
 DOWN_S = 3.0  # of a server that crashed
 TIME_LIMIT_S = 1.5  # of a caller
-BOUNDS = FleetBounds(
-    drain_s=2.0,
-    stop_grace_s=6.0,
-    config_apply_s=BOUND_S,
-    address_reuse_s=2.0,
-    retry_ratio=0.2,
-    retry_window_s=10.0,
-    retry_reserve=58.0,
-    cold_rate_factor=1.5,
-    cold_burst=5.0,
-)
 
 
 class WholeFleet:
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -3,7 +3,7 @@
 import unittest
 
 from crocusward.devtools.entry_soak import WholeFleet
-from crocusward.devtools.entry_soak._whole_hosts import BOUND_S
+from crocusward.devtools.entry_soak._host import BOUND_S
 
 
 class SilentConnectionsTest(unittest.TestCase):
