--- a/src/crocusward/devtools/entry_soak/_whole_hosts.py
+++ b/src/crocusward/devtools/entry_soak/_whole_hosts.py
@@ -240,7 +240,13 @@
         item.digest = headers.get(b"crocusward-response-signature", b"").decode()
 
     def ask_for(self, duration_s: float, per_s: float, *paths: str) -> None:
-        """Send requests at random for a while; the last path part is a new one."""
+        """Send requests to any hosts for a while.
+
+        Args:
+            duration_s: How long, in seconds.
+            per_s: Mean rate, in requests per second.
+            paths: Paths to choose from; without any, each request has a path of its own.
+        """
         end_s = self.now_s() + duration_s
         while self.now_s() < end_s:
             self.network.advance(self.rng.expovariate(per_s))
