--- a/src/crocusward/devtools/entry_soak/_whole_hosts.py
+++ b/src/crocusward/devtools/entry_soak/_whole_hosts.py
@@ -245,7 +245,7 @@
         Args:
             duration_s: How long, in seconds.
             per_s: Mean rate, in requests per second.
-            paths: Paths to choose from; without any, each request has a path of its own.
+            paths: Paths to choose from; without any, each request has its own path.
         """
         end_s = self.now_s() + duration_s
         while self.now_s() < end_s:
