--- a/review/2/case.py
+++ b/review/2/case.py
@@ -29,6 +29,7 @@
 CHUNK_BYTES = 1448
 CONNECTIONS = 40
 MEAN_GAP_S = 0.12  # between the requests of one client
+UNSAFE_SHARE = 0.5  # of the requests with which a client begins a queue
 WORK_MS = 60
 LIMIT_MS = 1500
 BEFORE_S = 3.0
@@ -87,6 +88,7 @@
         self.sent: deque[tuple[str, float]] = deque()
         self.whole = 0
         self.cut: list[str] = []
+        self.unsafe: set[str] = set()
 
     async def run(self, daemon: Daemon, end_s: float) -> None:
         """Use one connection until it closes."""
@@ -99,8 +101,7 @@
                 now_s = self._record.now_s()
                 must_stop = must_stop or now_s > end_s or _announces_close(line)
                 if now_s >= next_s and not must_stop:
-                    id, data = self._client.encode("GET", f"/look/{WORK_MS}", LIMIT_MS)
-                    self._record.write(f"client sends {id}")
+                    id, data = self._make_request()
                     self.sent.append((id, now_s))
                     line.send(data)
                     next_s = now_s + self._rng.expovariate(1.0 / MEAN_GAP_S)
@@ -119,6 +120,17 @@
         finally:
             line.close()
 
+    def _make_request(self) -> tuple[str, bytes]:
+        """Return a request; only the first one of a connection's queue may be unsafe."""
+        if not self.sent and self._rng.random() < UNSAFE_SHARE:
+            id, data = self._client.encode("POST", f"/order/{WORK_MS}", LIMIT_MS, b"x")
+            self.unsafe.add(id)
+        else:
+            id, data = self._client.encode("GET", f"/look/{WORK_MS}", LIMIT_MS)
+        kind = "unsafe" if id in self.unsafe else "safe"
+        self._record.write(f"client sends {id} ({kind})")
+        return id, data
+
     def _take_answers(self, line: Line) -> None:
         while (end := line.received.find(b"\r\n\r\n")) >= 0:
             head = bytes(line.received[:end]).lower()
@@ -136,6 +148,20 @@
     return b"connection: close" in bytes(line.received[:1000]).lower()
 
 
+def route(name: str, kind: str) -> dict[str, object]:
+    return {
+        "name": name,
+        "host": HOST,
+        "prefix": f"/{name}/",
+        "kind": kind,
+        "timeout": f"{LIMIT_MS}ms",
+        "slo": "600ms",
+        "priority": 0,
+        "service": "stock",
+        "maxAttempts": 2,
+    }
+
+
 async def case(record: Record, folder: Path) -> str | None:
     world = World(record, {"east-a": "east"}, folder)
     await world.store.start()
@@ -144,28 +170,12 @@
     daemon.seeds = [daemon.address]
     body = b"x" * ANSWER_BYTES
     targets = [
-        Target(record, f"i-{i}", "look", "east-a", slots=4, body=body) for i in range(8)
+        Target(record, f"i-{i}", "stock", "east-a", slots=4, body=body) for i in range(8)
     ]
     for target in targets:
         await target.start()
         world.list_target(target)
-    world.put_config(
-        7,
-        [
-            {
-                "name": "look",
-                "host": HOST,
-                "prefix": "/look/",
-                "kind": "safe",
-                "timeout": f"{LIMIT_MS}ms",
-                "slo": "600ms",
-                "priority": 0,
-                "service": "look",
-                "maxAttempts": 2,
-            }
-        ],
-        ["look"],
-    )
+    world.put_config(7, [route("look", "safe"), route("order", "unsafe")], ["stock"])
     client = Client(record, HOST)
     users = [PipeliningClient(record, client, seed) for seed in range(CONNECTIONS)]
     try:
@@ -187,8 +197,12 @@
     cut = [id for user in users for id in user.cut if id in run_ids]
     whole = sum(user.whole for user in users)
     record.write(f"{whole} answers whole, {len(cut)} cut")
+    unsafe = set[str]().union(*(user.unsafe for user in users))
     if cut:
-        return f"LOST: the answers to {len(cut)} requests that servers ran were cut"
+        return (
+            f"LOST: the answers to {len(cut)} requests that servers ran were cut,"
+            f" {len(unsafe & set(cut))} of them unsafe"
+        )
     return None
 
 
