--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,7 +13,7 @@
 HOST = "api.example"
 RESTART_DELAY_S = 0.5
 SETTLE_S = 0.5  # until the process has read the list of hosts
-BUSY_MS = 3000
+BUSY_MS = 3600
 
 
 def route(name: str, prefix: str, service: str) -> dict[str, object]:
@@ -23,7 +23,7 @@
         "prefix": prefix,
         "kind": "unsafe",
         "timeout": "6s",
-        "slo": "3s",
+        "slo": "4s",
         "priority": 0,
         "service": service,
         "maxAttempts": 2,
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -19,7 +19,8 @@
 
 REGIONS = {"east-a": "east"}
 HOST = "api.example"
-RESTART_DELAY_S = 0.2
+RESTART_DELAY_S = 0.1
+WORK_MS = 250  # so that several servers are in use at once
 DRAIN_S = 2.0
 STABILITY_S = 3.0
 ROUNDS = 6  # until one breaks the rule
@@ -64,7 +65,7 @@
         for _ in range(int(seconds / 0.1)):
             for daemon in daemons:
                 if daemon.process.returncode is None:
-                    ask = client.ask(daemon, "POST", "/stock/40", limit_ms=1200)
+                    ask = client.ask(daemon, "POST", f"/stock/{WORK_MS}", limit_ms=1200)
                     tasks.append(asyncio.create_task(ask))
             await asyncio.sleep(0.1)
 
