--- a/review/3/case.py
+++ b/review/3/case.py
@@ -110,7 +110,7 @@
             if broken:
                 return broken
     finally:
-        await asyncio.gather(*tasks)
+        await asyncio.gather(*tasks, return_exceptions=True)
         for daemon in daemons:
             await daemon.end()
             daemon.copy_log()
