--- a/review/2/case.py
+++ b/review/2/case.py
@@ -28,6 +28,7 @@
 LINK_BYTES_PER_S = 5_000_000 / 8
 CHUNK_BYTES = 1448
 CONNECTIONS = 40
+MIN_SERVED_SHARE = 0.75  # of the clients, for the case to run
 MEAN_GAP_S = 0.12  # between the requests of one client
 UNSAFE_SHARE = 0.5  # of the requests with which a client begins a queue
 WORK_MS = 60
@@ -185,8 +186,10 @@
         end_s = record.now_s() + BEFORE_S + GRACE_S
         tasks = [asyncio.create_task(user.run(daemon, end_s)) for user in users]
         await asyncio.sleep(BEFORE_S)
-        if not all(user.whole for user in users):
-            raise CannotRun("not every client was served before the signal")
+        served = sum(user.whole > 0 for user in users)
+        record.write(f"{served} of {CONNECTIONS} clients were served so far")
+        if served < MIN_SERVED_SHARE * CONNECTIONS:
+            raise CannotRun("too few clients were served before the signal")
         if TROUBLE:
             daemon.send_signal(signal.SIGTERM)
         await asyncio.gather(*tasks)
