Take slot offers only for what this process asked, and only for servers of the service

Numbers begin at the start time of the process; an offer must come from the host that was asked; the offered server must serve the service, and is checked again right before the first byte. Datagrams that come twice neither release a slot in use nor keep one for good.

--- a/src/crocusward/entryd/_exposition.py
+++ b/src/crocusward/entryd/_exposition.py
@@ -56,6 +56,9 @@
     lines.append(f"# TYPE {PREFIX}crash_events_total counter")
     for event, count in process.crash_watch.events.items():
         lines.append(f'{PREFIX}crash_events_total{{event="{event}"}} {count}')
+    lines.append(f"# TYPE {PREFIX}slot_offers_ignored_total counter")
+    for reason, count in process.hub.ignored_offers.items():
+        lines.append(f'{PREFIX}slot_offers_ignored_total{{reason="{reason}"}} {count}')
     _add_connections(lines, process)
     return ("\n".join(lines) + "\n").encode("utf-8")
 
--- a/src/crocusward/entryd/_hub.py
+++ b/src/crocusward/entryd/_hub.py
@@ -32,7 +32,7 @@
 from ..timing import Subscription, TimerService, boot_time_s
 from ._crash_exchange import CrashExchange
 from ._rate_limit_exchange import RateLimitExchange
-from ._slot_broker import SlotBroker
+from ._slot_broker import SlotBroker, make_first_token
 
 REPORT_PERIOD_S = 0.25  # a neighbour counts as silent after three lost reports
 MAX_REPORTS_PER_S = 120.0  # sent by one host; many neighbours get fewer reports each
@@ -156,6 +156,7 @@
             issue_permit,
             neighbours.find_host,
             limit_clock,
+            make_first_token(incarnation, rng),
         )
         self._rate_limits = RateLimitExchange(
             facts.name,
@@ -228,6 +229,11 @@
         """Number of known hosts, including this one."""
         return len(self._hosts)
 
+    @property
+    def ignored_offers(self) -> dict[str, int]:
+        """Number of slot offers that were not used, by reason."""
+        return self._slot_broker.ignored_offers
+
     # Membership.
 
     def _make_hello(self) -> Hello:
--- a/src/crocusward/entryd/_slot_broker.py
+++ b/src/crocusward/entryd/_slot_broker.py
@@ -21,6 +21,35 @@
 REPLY_TIMEOUT_FACTOR = 1.5  # times the average reply time of the group
 UNANSWERED_PAUSE_S = 2.0  # an unresponsive host gets no requests for this long
 REPLY_TIME_WEIGHT = 0.1  # of the newest answer in the moving average
+TOKEN_SPREAD_BITS = 22  # below the start time in a first token; it fits in 63 bits
+
+
+class _PendingOffer:
+    """A slot request that waits for its answer.
+
+    Attributes:
+        address: IP address of the host that was asked.
+        fut: Receives the offer.
+    """
+
+    __slots__ = ("address", "fut")
+
+    def __init__(self, address: str, fut: asyncio.Future[SlotOffer]) -> None:
+        self.address = address
+        self.fut = fut
+
+
+def make_first_token(incarnation: int, rng: random.Random) -> int:
+    """Return the first number of the slot requests of a process.
+
+    Offers outlive the process that asked for them, so the numbers of two processes at
+    the same address must differ, also if the time of day was set back between them.
+
+    Args:
+        incarnation: Start time of the process, Unix time in milliseconds.
+        rng: Distinguishes processes with the same start time.
+    """
+    return (incarnation << TOKEN_SPREAD_BITS) + rng.getrandbits(TOKEN_SPREAD_BITS)
 
 
 class SlotBroker:
@@ -36,9 +65,15 @@
         issue_permit: Issues a permit for a rate-limited server to a neighbour.
         neighbour_at: Returns the neighbour with an IP address, "" if there is none.
         limit_clock: Clock of rate limits, in seconds.
+        first_token: Number of the first slot request, see ``make_first_token``.
+
+    Attributes:
+        ignored_offers: Number of offers that were not used, by reason: "not_awaited"
+            or "other_sender".
     """
 
     __slots__ = (
+        "ignored_offers",
         "_timer",
         "_rng",
         "_sampler",
@@ -50,6 +85,7 @@
         "_limit_clock",
         "_answer_tasks",
         "_pending_offers",
+        "_held_tokens",
         "_reply_times_s",
         "_paused_until_s",
         "_last_token",
@@ -66,7 +102,9 @@
         issue_permit: Callable[..., Awaitable[PermitAnswer]],
         neighbour_at: Callable[[str], str],
         limit_clock: Callable[[], float],
+        first_token: int,
     ) -> None:
+        self.ignored_offers = {"not_awaited": 0, "other_sender": 0}
         self._timer = timer
         self._rng = rng
         self._sampler = sampler
@@ -77,10 +115,11 @@
         self._neighbour_at = neighbour_at
         self._limit_clock = limit_clock
         self._answer_tasks: dict[tuple[str, int], asyncio.Task[None]] = {}
-        self._pending_offers: dict[int, asyncio.Future[SlotOffer]] = {}
+        self._pending_offers: dict[int, _PendingOffer] = {}
+        self._held_tokens: set[int] = set()  # of slots in use
         self._reply_times_s: dict[str, float] = {}
         self._paused_until_s: dict[str, float] = {}
-        self._last_token = 0
+        self._last_token = first_token
 
     async def request_slot(
         self,
@@ -157,6 +196,8 @@
             took_s=took_s,
             retry_after_s=offer.retry_after_s,
         )
+        if offer.backend != NO_FREE_SLOT and not is_permit:
+            self._held_tokens.add(token)
         return ReservedSlot(
             offer.backend,
             host.address,
@@ -171,7 +212,7 @@
         self, request: SlotRequest, host: EntryHost, timeout_s: float
     ) -> SlotOffer | None:
         fut: asyncio.Future[SlotOffer] = asyncio.get_running_loop().create_future()
-        self._pending_offers[request.token] = fut
+        self._pending_offers[request.token] = _PendingOffer(host.address, fut)
         self._endpoint.send(request, [host.address])
         try:
             async with asyncio.timeout(timeout_s + REPLY_MARGIN_S):
@@ -187,6 +228,7 @@
 
     def release_slot(self, slot: ReservedSlot) -> None:
         """Release a slot that another group reserved."""
+        self._held_tokens.discard(slot.token)
         self._endpoint.send(SlotRelease(slot.token), [slot.address])
 
     def handle_message(
@@ -200,21 +242,45 @@
                 answer_task.cancel()
             self._cancel_reservation(key)
         elif isinstance(message, SlotOffer):
-            fut = self._pending_offers.get(message.token)
-            if fut is not None and not fut.done():
-                fut.set_result(message)
-            elif message.backend != NO_FREE_SLOT:
-                # The request is gone; the reserved slot must not stay occupied.
-                self._endpoint.send(SlotRelease(message.token), [sender])
-        else:
+            self._handle_offer(message, sender)
+        elif key not in self._answer_tasks:  # else a datagram that came twice
             task = asyncio.get_running_loop().create_task(
                 self._answer_request(message, sender)
             )
             self._answer_tasks[key] = task
             task.add_done_callback(lambda _: self._answer_tasks.pop(key, None))
 
+    def _handle_offer(self, offer: SlotOffer, sender: str) -> None:
+        """Hand an offer to the request that waits for it, or give the slot back."""
+        pending = self._pending_offers.get(offer.token)
+        if pending is not None and pending.address != sender:
+            self._ignore_offer(offer, sender, "other_sender")
+        elif pending is not None and not pending.fut.done():
+            pending.fut.set_result(offer)
+        elif pending is None and offer.token not in self._held_tokens:
+            # The request is gone, or was sent by a former process of this host.
+            self._ignore_offer(offer, sender, "not_awaited")
+
+    def _ignore_offer(self, offer: SlotOffer, sender: str, reason: str) -> None:
+        if offer.backend == NO_FREE_SLOT:
+            return
+        self.ignored_offers[reason] += 1
+        self._sampler.log(
+            "slot_offer_ignored",
+            sender=sender,
+            token=offer.token,
+            backend=offer.backend,
+            reason=reason,
+        )
+        # The reserved slot must not stay occupied.
+        self._endpoint.send(SlotRelease(offer.token), [sender])
+
     async def _answer_request(self, request: SlotRequest, sender: str) -> None:
         neighbour = self._neighbour_at(sender)
+        if request.request_id and not neighbour:
+            # A permit is not a slot: its sender would never release one.
+            self._endpoint.send(SlotOffer(request.token, NO_FREE_SLOT), [sender])
+            return
         if neighbour:
             await self._answer_permit_request(request, neighbour, sender)
             return
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -406,6 +406,10 @@
                 raise NotSentError("servers crash under it", code=CRASHES_SERVERS)
             if not self._selector.is_allowed(load, route, self._now()):
                 raise NotSentError("the server is out of service", code=WITHDRAWN)
+            if self._load_table.loads.get(load.entry.id) is not load:
+                raise NotSentError("the server was replaced", code=WITHDRAWN)
+            if load.entry.service != call.selection_req.service:
+                raise NotSentError("the server has another service", code=WITHDRAWN)
             is_limited = load.is_limited(self._now())
             if is_limited and self._rate_limits.now() > permit_end_s:
                 raise NotSentError("the permit has expired", code=PERMIT_EXPIRED)
--- a/src/crocusward/relay/_slot_finder.py
+++ b/src/crocusward/relay/_slot_finder.py
@@ -7,6 +7,7 @@
 from ..desired import Directory
 from ..logs import EventSampler
 from ..placing import (
+    BackendLoad,
     BackendLoadTable,
     BackendSelector,
     LimitedServers,
@@ -317,12 +318,15 @@
         if slot.backend == NO_FREE_SLOT:
             return False
         load = self._load_table.loads.get(slot.backend)
-        is_eligible = (
-            load is not None
-            and slot.backend not in req.excluded
-            and self._selector.is_allowed(load, req.route, self._timer.now())
-        )
-        if load is None or not is_eligible:
+        reason = self._find_slot_fault(req, load)
+        if load is None or reason:
+            self._sampler.log(
+                "offered_slot_unusable",
+                id=req.id,
+                backend=slot.backend,
+                host=slot.address,
+                reason=reason,
+            )
             self._notifier.release(slot)
             return False
         selection.load = load
@@ -335,6 +339,18 @@
         selection.release = lambda: self._notifier.release(slot)
         return True
 
+    def _find_slot_fault(self, req: SelectionRequest, load: BackendLoad | None) -> str:
+        """Return why an offered server may not serve a request, or ""."""
+        if load is None:
+            return "unknown_server"
+        if load.entry.service != req.service:
+            return "other_service"
+        if load.entry.id in req.excluded:
+            return "tried_before"
+        if not self._selector.is_allowed(load, req.route, self._timer.now()):
+            return "out_of_service"
+        return ""
+
     def _use_permit(
         self, req: SelectionRequest, selection: Selection, permit: ReservedSlot
     ) -> bool:
--- a/src/crocusward/relay/_slot_offers.py
+++ b/src/crocusward/relay/_slot_offers.py
@@ -10,7 +10,7 @@
     Selection,
     SelectionRequest,
 )
-from ..timing import TimerService
+from ..timing import Subscription, TimerService
 from ._permits import PermitAnswer
 from ._rate_limits import RateLimitTracker
 from ._reserved_slot import NeighbourNotifier
@@ -60,7 +60,7 @@
         self._notifier = notifier
         self._sampler = sampler
         self._rate_limits = rate_limits
-        self._reserved: dict[tuple[str, int], BackendLoad] = {}
+        self._reserved: dict[tuple[str, int], tuple[BackendLoad, Subscription]] = {}
 
     def _make_request(
         self, service: str, route_name: str, service_time_s: float, wait_s: float
@@ -133,16 +133,21 @@
             load.reserve_slot(self._timer.now())
         reserved_s = RESERVATION_TIME_FACTOR * max(service_time_s, selection.expected_s)
         reserved_s = min(reserved_s, req.route.timeout_s + MIN_ATTEMPT_TIME_S)
-        self._reserved[key] = load
-        self._timer.call_later(reserved_s, lambda: self.release_offer(key))
+        self.release_offer(key)  # a request that was delivered twice
+        self._reserved[key] = (
+            load,
+            self._timer.call_later(reserved_s, lambda: self.release_offer(key)),
+        )
         self._notifier.notify_change(load, None)
         return selection
 
     def release_offer(self, key: tuple[str, int]) -> None:
         """Release an offered slot when its request or reservation has ended."""
-        load = self._reserved.pop(key, None)
-        if load is None:
+        reserved = self._reserved.pop(key, None)
+        if reserved is None:
             return
+        load, expiry = reserved
+        expiry.cancel()
         load.end(-1.0)
         self._notifier.notify_change(load, None)
         self._slot_finder.dispatch_queued(load.entry.service)
--- a/tests/test_asks.py
+++ b/tests/test_asks.py
@@ -41,10 +41,12 @@
     return PermitAnswer(None)
 
 
-class SlotBrokerTest(unittest.IsolatedAsyncioTestCase):
+class SlotBrokerTestCase(unittest.IsolatedAsyncioTestCase):
+    """Makes slot brokers whose messages are recorded."""
+
     clock_s = 100.0
 
-    def make_broker(self):
+    def make_broker(self, first_token=0):
         timer = LoopTimer(asyncio.get_running_loop(), random.Random(1))
         self.endpoint = RecordingEndpoint()
         return SlotBroker(
@@ -57,6 +59,7 @@
             deny_permit,
             lambda address: "",
             lambda: self.clock_s,
+            first_token,
         )
 
     def request_slot(self, broker, max_wait_s=0.0, **options):
@@ -67,6 +70,8 @@
             req, "east-b#0", [HOST], False, max_wait_s, **options
         )
 
+
+class SlotBrokerTest(SlotBrokerTestCase):
     async def test_offer_resolves_the_request(self):
         """Guards against an offer that does not reach the waiting request."""
         broker = self.make_broker()
