Close connections behind their answers without a reset

Each close ends the write side first and drops input until the caller closes, bounded in time, bytes and connections; a stop waits for it within the grace time. Closes that cut an answer are logged with the request's id and counted.

--- a/src/crocusward/entryd/_exposition.py
+++ b/src/crocusward/entryd/_exposition.py
@@ -30,6 +30,7 @@
         "hosts_known": process.hub.fleet_size,
         "requests_pending": process.callers.pending,
         "connections": len(process.callers.connections),
+        "connections_lingering": len(process.callers.lingering),
         "store_calls": process.store.call_count,
         "store_era": max(item.copy.era for item in process.followers.values()),
         "store_rows_kept": sum(
@@ -64,6 +65,9 @@
 
 
 def _add_connections(lines: list[str], process: "EntryProcess") -> None:
+    lines.append(f"# TYPE {PREFIX}linger_ends_total counter")
+    for end, count in process.callers.linger_ends.items():
+        lines.append(f'{PREFIX}linger_ends_total{{reason="{end}"}} {count}')
     lines.append(f"# TYPE {PREFIX}row_pulls_total counter")
     for outcome, count in process.row_replicator.outcomes.items():
         lines.append(f'{PREFIX}row_pulls_total{{outcome="{outcome}"}} {count}')
--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -240,7 +240,7 @@
             facts.limits.memory_mb,
         )
         control = ControlHandler(self)
-        self.callers = Listener(self.relay, self.timer)
+        self.callers = Listener(self.relay, self.timer, self.sampler)
         self._ready_listener = Listener(control, self.timer)
         self._neighbour_listener = Listener(control, self.timer)
         self._control_listener = Listener(control, self.timer)
--- a/src/crocusward/relay/_caller.py
+++ b/src/crocusward/relay/_caller.py
@@ -8,12 +8,12 @@
 import httptools
 
 from ..desired import CallerLimits
+from ..lingering import LingerEnd, LingeringClose
 from ..platform import DEADLINE_MS_HEADER, REQUEST_ID_HEADER
 from ..upstream import parse_digits
 from ._messages import CallerAnswer, CallerRequest, Headers, make_refusal
 
 MAX_PIPELINED_REQUESTS = 32  # per connection; reading pauses above it
-LINGERING_CLOSE_S = 1.0  # time for which unread input is dropped before closing
 # Used until a desired state is loaded.
 DEFAULT_LIMITS = CallerLimits(16_384, 1 << 20, 3.0, 15.0)
 CHUNK_OVERHEAD_BYTES = 65_536  # chunk headers and trailers of one body
@@ -72,13 +72,23 @@
         now: Monotonic clock, in seconds.
         on_open: Called with the connection when it is established.
         on_close: Called with the connection when it is lost.
+        on_linger: Called with the connection when its lingering close begins.
+        on_linger_end: Called with the connection and the reason if it is closed before
+            its caller does so.
+
+    Attributes:
+        last_id: Id of the last request that was answered.
     """
 
     __slots__ = (
+        "last_id",
         "_handler",
         "_now",
         "_on_open",
         "_on_close",
+        "_on_linger",
+        "_on_linger_end",
+        "_linger",
         "_transport",
         "_parser",
         "_pending",
@@ -100,11 +110,17 @@
         now: Callable[[], float],
         on_open: Callable[["CallerConnection"], object],
         on_close: Callable[["CallerConnection"], object],
+        on_linger: Callable[["CallerConnection"], object],
+        on_linger_end: Callable[["CallerConnection", LingerEnd], object],
     ) -> None:
+        self.last_id = b""
         self._handler = handler
         self._now = now
         self._on_open = on_open
         self._on_close = on_close
+        self._on_linger = on_linger
+        self._on_linger_end = on_linger_end
+        self._linger: LingeringClose | None = None
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._pending: deque[_PendingRequest] = deque()
@@ -140,11 +156,27 @@
         """Close the connection with its next answer, since the daemon is stopping."""
         self._is_draining = True
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that the caller of a lingering close has not taken yet."""
+        return self._linger.unsent_bytes if self._linger is not None else 0
+
     def close(self) -> None:
-        """Close once the written bytes have been sent."""
+        """Close the write side; the rest once the caller has taken the answers."""
         self._is_closing = True
-        if self._transport is not None:
-            self._transport.close()
+        transport = self._transport
+        if transport is None or self._linger is not None or transport.is_closing():
+            return
+        if not transport.can_write_eof():
+            transport.close()
+            return
+        self._linger = LingeringClose(transport, self._now())
+        self._on_linger(self)
+
+    def end_linger(self, end: LingerEnd) -> None:
+        """Close a lingering connection before its caller does."""
+        self._on_linger_end(self, end)
+        self.abort()
 
     def abort(self) -> None:
         """Close without sending buffered bytes."""
@@ -154,6 +186,11 @@
 
     def check_timeouts(self, now_s: float) -> None:
         """Apply the head, body and idle timeouts."""
+        if self._linger is not None:
+            end = self._linger.find_end(now_s)
+            if end is not None:
+                self.end_linger(end)
+            return
         limits = self._handler.limits
         idle_s = now_s - self._timeout_start_s
         if self._is_closing or self._is_rejected:
@@ -176,6 +213,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; malformed input ends only this connection."""
+        if self._linger is not None:
+            self._linger.drop(len(data), self._now())
+            return
         if self._is_closing or self._is_rejected:
             return
         if not self._is_reading_head:
@@ -346,35 +386,17 @@
             if self._is_draining and not self._pending and not self._is_reading_head:
                 keep_alive = False
             has_body = item.req.method != "HEAD"
+            self.last_id = item.req.id
             transport.write(answer.encode(keep_alive, has_body))
             self._timeout_start_s = self._now()
             if not keep_alive:
-                self._close_after_answer(not item.is_complete)
+                self._cancel_all()
+                self.close()
                 return
         if transport is not None and len(self._pending) <= MAX_PIPELINED_REQUESTS:
             transport.resume_reading()
         self._start_runnable()
 
-    def _close_after_answer(self, has_unread: bool) -> None:
-        """Close after an answer that ends the connection.
-
-        Closing with unread input would reset the connection, and the caller could
-        lose the answer. So the write side is closed first, and input is read and
-        dropped for a while.
-
-        Args:
-            has_unread: Whether the answered request was not read to its end.
-        """
-        transport = self._transport
-        self._cancel_all()
-        if transport is None:
-            return
-        if (has_unread or self._is_reading_head) and transport.can_write_eof():
-            transport.write_eof()
-            asyncio.get_running_loop().call_later(LINGERING_CLOSE_S, transport.close)
-        else:
-            transport.close()
-
     def _reject_current(self, answer: CallerAnswer) -> None:
         item = self._current
         if item is None:
--- a/src/crocusward/relay/_listener.py
+++ b/src/crocusward/relay/_listener.py
@@ -3,11 +3,14 @@
 import asyncio
 from collections.abc import Callable
 
+from ..lingering import LingerEnd
+from ..logs import EventSampler, Level
 from ..timing import Subscription, TimerService
 from ._caller import CallerConnection, RequestHandler
 
 MAX_LISTEN_BACKLOG = 1024
 TIMEOUT_CHECK_PERIOD_S = 0.5
+MAX_LINGERING_CONNECTIONS = 512  # above it, the oldest lingering close is ended
 
 
 class Listener:
@@ -16,22 +19,37 @@
     Args:
         handler: Answers the requests.
         timer: Source of time.
+        sampler: Logs closes that callers may notice, or None.
 
     Attributes:
         connections: Open connections.
         accepted: Number of connections accepted so far.
+        lingering: Connections whose close lingers, the oldest first.
+        linger_ends: Number of lingering closes that ended before the caller closed, by
+            reason.
     """
 
     __slots__ = (
         "connections",
         "accepted",
+        "lingering",
+        "linger_ends",
+        "_sampler",
         "_handler",
         "_timer",
         "_server",
         "_timeout_check",
     )
 
-    def __init__(self, handler: RequestHandler, timer: TimerService) -> None:
+    def __init__(
+        self,
+        handler: RequestHandler,
+        timer: TimerService,
+        sampler: EventSampler | None = None,
+    ) -> None:
+        self.lingering: dict[CallerConnection, None] = {}
+        self.linger_ends = dict.fromkeys(LingerEnd, 0)
+        self._sampler = sampler
         self.connections: set[CallerConnection] = set()
         self.accepted = 0
         self._handler = handler
@@ -50,7 +68,12 @@
 
         def make_connection() -> CallerConnection:
             return CallerConnection(
-                self._handler, now, self._on_open, self.connections.discard
+                self._handler,
+                now,
+                self._on_open,
+                self._on_close,
+                self._on_linger,
+                self._on_linger_end,
             )
 
         self._server = await loop.create_server(
@@ -68,6 +91,31 @@
         self.accepted += 1
         self.connections.add(conn)
 
+    def _on_close(self, conn: CallerConnection) -> None:
+        self.connections.discard(conn)
+        self.lingering.pop(conn, None)
+
+    def _on_linger(self, conn: CallerConnection) -> None:
+        self.lingering[conn] = None
+        if len(self.lingering) > MAX_LINGERING_CONNECTIONS:
+            next(iter(self.lingering)).end_linger(LingerEnd.DISPLACED)
+
+    def _on_linger_end(self, conn: CallerConnection, end: LingerEnd) -> None:
+        self.lingering.pop(conn, None)
+        self.linger_ends[end] += 1
+        if end is not LingerEnd.QUIET:
+            self._log_cut(conn, end.value)
+
+    def _log_cut(self, conn: CallerConnection, reason: str) -> None:
+        if self._sampler is not None:
+            self._sampler.log(
+                "caller_connection_cut",
+                Level.WARNING,
+                id=conn.last_id.decode("latin-1"),
+                reason=reason,
+                unsent_bytes=conn.unsent_bytes,
+            )
+
     def _check_timeouts(self) -> None:
         now_s = self._timer.now()
         for conn in list(self.connections):
@@ -91,7 +139,7 @@
     def close_idle(self) -> None:
         """Close the connections without a pending or partly read request."""
         for conn in list(self.connections):
-            if conn.is_idle:
+            if conn.is_idle and conn not in self.lingering:
                 conn.close()
 
     def stop_accepting(self) -> None:
@@ -106,4 +154,6 @@
         if self._timeout_check is not None:
             self._timeout_check.cancel()
         for conn in list(self.connections):
+            if conn.unsent_bytes:
+                self._log_cut(conn, "stopped")
             conn.abort()
--- a/src/crocusward/server/_protocol.py
+++ b/src/crocusward/server/_protocol.py
@@ -15,11 +15,11 @@
     RequestResponseCycle,
 )
 
+from ..lingering import LingeringClose
 from ..upstream import has_no_stray_control_chars
 from ._answers import SEND_ANSWER, TAKE_BODY, Headers
 
 MAX_HEAD_BYTES = 65_536  # of a request head, of trailers and of chunk extensions
-GENTLE_CLOSE_S = 1.0
 WRITE_TIMEOUT_S = 60.0  # a caller that takes no answer holds its memory
 HEAD_TIMEOUT_S = 10.0  # a head normally arrives in one segment
 
@@ -85,6 +85,7 @@
         self._in_head = False
         self._broken = False
         self._draining = False
+        self._linger: LingeringClose | None = None
 
     # State.
 
@@ -111,6 +112,10 @@
             now_s: Time of the loop, in seconds.
             idle_s: Longest time without a request, in seconds.
         """
+        if self._linger is not None:
+            if self._linger.find_end(now_s) is not None:
+                self.transport.abort()
+            return
         if self._has_request():
             return
         unused_s = now_s - self.busy_since_s
@@ -120,7 +125,7 @@
             return
         limit_s = max(idle_s, HEAD_TIMEOUT_S) if self._in_head else idle_s
         if unused_s >= limit_s and not self._has_unread_bytes():
-            self.transport.close()
+            self._close_gently()
 
     def _has_unread_bytes(self) -> bool:
         sock = self.transport.get_extra_info("socket")
@@ -157,6 +162,8 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse bytes; a fault ends this connection and no other."""
+        if self._linger is not None:
+            self._linger.drop(nbytes, self.loop.time())
         if self._broken:
             return
         self._unframed_bytes += nbytes
@@ -230,7 +237,7 @@
             cycle, app = self.pipeline.pop()
             self._start_asgi_task(cycle, app)
         elif self._broken or self._draining:
-            self.transport.close()
+            self._close_gently()
 
     async def _send_answer(
         self,
@@ -270,24 +277,19 @@
         cycle.message_event.set()
         if cycle.keep_alive:
             cycle.on_response()
-        elif cycle.more_body or self._in_head or self._has_unread_bytes():
-            self._close_gently()
         else:
-            self.transport.close()
+            self._close_gently()
 
     def _close_gently(self) -> None:
-        """Close for writing and drop what still arrives, for a while.
-
-        Closing at once with unread bytes resets the connection, and the caller
-        may lose the answer.
-        """
+        """Close for writing and drop what still arrives until the caller closes."""
+        if self._linger is not None or self.transport.is_closing():
+            return
         self._broken = True
         if not self.transport.can_write_eof():
             self.transport.close()
             return
-        self.transport.write_eof()
         self.flow.resume_reading()
-        self.loop.call_later(GENTLE_CLOSE_S, self.transport.close)
+        self._linger = LingeringClose(self.transport, self.loop.time())
 
     def _reject(self) -> None:
         """End the connection after the answers to earlier, complete requests.
