Hand out pages of changes only for the history that a copy knows

A copy that began with a complete page knows no earlier removals, but handed out changes from before it, so neighbours moved to the newer version without them; and a merge took rows that the store had removed.

A copy knows where its history starts and sends a complete page, with deferred removals, to those who ask from before. A merge takes rows that the copy lacks only if the store lost them.

--- a/src/crocusward/desired/_table_replica.py
+++ b/src/crocusward/desired/_table_replica.py
@@ -27,6 +27,10 @@
     ``defer_removals`` keeps such rows until a given time; rows that are still missing
     then are removed.
 
+    A complete page tells what is in the table, not what was removed before. So the
+    replica knows all changes only from the version of its last complete page on; a
+    neighbour with an older position gets a complete page in its turn.
+
     Args:
         name: Name of the table.
 
@@ -34,6 +38,7 @@
         name: Name of the table.
         era: Era of the replica.
         version: Version of the replica; ``NO_VERSION`` before the first complete page.
+        history_start: Version after which the replica knows all changes.
         kept_count: Number of rows and removals of the last change of era that the store
             has lost.
     """
@@ -42,6 +47,7 @@
         "name",
         "era",
         "version",
+        "history_start",
         "kept_count",
         "_rows",
         "_past",
@@ -56,6 +62,7 @@
         self.name = name
         self.era = NO_ERA
         self.version = NO_VERSION
+        self.history_start = NO_VERSION
         self.kept_count = 0
         self._rows: dict[str, RowChange] = {}
         self._past = PastRows()
@@ -97,20 +104,24 @@
             accepted = self._enter_era(page)
         else:
             accepted = self._find_newer(page)
+        if page.complete and page.position > self.position:
+            self.history_start = page.version
         self.era = page.era
         self.version = page.version
         return [change for change in accepted if self._apply_change(change, now_s)]
 
     def merge(self, page: TablePage, now_s: float) -> list[RowChange]:
-        """Apply newer rows of a neighbour; return the effective changes, in order.
+        """Apply what a neighbour kept of a lost history; return the effective changes.
 
         The position stays as it is: the page may lack changes that this replica has.
-        Pages of another era change nothing.
+        Pages of another era change nothing. A row that this replica lacks is taken only
+        if the store has lost it. Any other one was removed before this replica was
+        read, or is newer than it and comes with the changes after its position.
         """
         if self.version < 0 or page.era != self.era:
             return []
         present = {change.key for change in page.changes if change.value is not None}
-        accepted = [change for change in page.changes if self._is_newer(change)]
+        accepted = [change for change in page.changes if self._should_merge(change)]
         changed = []
         for change in accepted:
             if change.value is None and change.key not in present:
@@ -152,6 +163,12 @@
         known = known or self._tombstones.get(change.key)
         return known is None or change.version > known.version
 
+    def _should_merge(self, change: RowChange) -> bool:
+        if change.value is None or change.key in self._rows:
+            return self._is_newer(change)
+        is_known = change.key in self._tombstones or change.key in self._withheld
+        return change.version == FIRST_VERSION and not is_known
+
     def _enter_era(self, page: TablePage) -> list[RowChange]:
         """Return the changes that were written in a new era.
 
@@ -223,7 +240,8 @@
         self._tombstones.pop(change.key, None)
         self._tombstones[change.key] = change
         while len(self._tombstones) > MAX_TOMBSTONES:
-            del self._tombstones[next(iter(self._tombstones))]
+            dropped = self._tombstones.pop(next(iter(self._tombstones)))
+            self.history_start = max(self.history_start, dropped.version)
 
     def rows(self) -> Iterable[RowChange]:
         """Return the current rows."""
@@ -232,15 +250,11 @@
     def get_changes_since(self, position: TablePosition) -> TablePage:
         """Return the changes after a position, including deferred removals.
 
-        The page is complete if the position is of an earlier era, or if tombstones may
-        have been dropped.
+        The page is complete if the position is of another era, or if this replica does
+        not know all changes after it.
         """
-        if (
-            position.version < 0
-            or position.era != self.era
-            or len(self._tombstones) >= MAX_TOMBSTONES
-        ):
-            rows = list(self._rows.values())
+        if position.era != self.era or position.version < self.history_start:
+            rows = [*self._rows.values(), *self._deferred.values()]
             if position.version >= 0 and position.era != self.era:
                 rows += self._tombstones.values()  # the store may have some of them
             return TablePage(self.version, rows, complete=True, era=self.era)
--- a/src/crocusward/entryd/_exposition.py
+++ b/src/crocusward/entryd/_exposition.py
@@ -71,6 +71,9 @@
     lines.append(f"# TYPE {PREFIX}row_pulls_total counter")
     for outcome, count in process.row_replicator.outcomes.items():
         lines.append(f'{PREFIX}row_pulls_total{{outcome="{outcome}"}} {count}')
+    lines.append(f"# TYPE {PREFIX}complete_pages_sent_total counter")
+    count = process.row_replicator.complete_pages
+    lines.append(f"{PREFIX}complete_pages_sent_total {count}")
     pools = {"store": process.store_pool, "backends": process.backend_pool}
     for metric in ("silent_connections", "distrusted_connections"):
         lines.append(f"# TYPE {PREFIX}{metric}_total counter")
--- a/src/crocusward/entryd/_row_replicator.py
+++ b/src/crocusward/entryd/_row_replicator.py
@@ -64,10 +64,13 @@
 
     Attributes:
         outcomes: Number of attempts by outcome: "taken", "missed", "superseded".
+        complete_pages: Number of complete pages sent to neighbours that had a copy,
+            since this host does not know all changes after it.
     """
 
     __slots__ = (
         "outcomes",
+        "complete_pages",
         "_timer",
         "_followers",
         "_neighbour_tables",
@@ -87,6 +90,7 @@
         sampler: EventSampler,
     ) -> None:
         self.outcomes = {"taken": 0, "missed": 0, "superseded": 0}
+        self.complete_pages = 0
         self._timer = timer
         self._followers = followers
         self._neighbour_tables = neighbour_tables
@@ -158,6 +162,7 @@
                 era=pulled.page.era,
                 version=pulled.page.version,
                 rows=len(pulled.page.changes),
+                is_complete=pulled.page.complete,
                 took_s=self._timer.now() - began_s,
                 attempts=len(asked),
             )
@@ -215,6 +220,17 @@
                 return None
             position = TablePosition(int(era or NO_ERA), int(version))
             page = follower.copy.get_changes_since(position)
+            if page.complete and position.version >= 0:
+                self.complete_pages += 1
+                self._sampler.log(
+                    "neighbour_history_incomplete",
+                    table=table,
+                    asked_era=position.era,
+                    asked_version=position.version,
+                    era=page.era,
+                    history_start=follower.copy.history_start,
+                    rows=len(page.changes),
+                )
         return encode_page(page, follower.copy.deferral_left_s(self._timer.now()))
 
 
