Answer running pipelined requests before their connection ends

After an answer that ends the connection no request starts; the connection closes with the last answer to those that already run, which carries Connection: close.

--- a/src/crocusward/relay/_caller.py
+++ b/src/crocusward/relay/_caller.py
@@ -64,8 +64,9 @@
     """Parses pipelined requests and writes the answers in request order.
 
     Pipelined idempotent requests run concurrently. Any other request starts only once
-    all earlier ones are answered: after an answer that closes the connection, the
-    caller sends the remaining requests again.
+    all earlier ones are answered. After an answer that ends the connection no further
+    request starts; the connection closes with the last answer to those that already
+    run, and the caller sends the remaining requests again.
 
     Args:
         handler: Answers the requests.
@@ -101,6 +102,7 @@
         "_is_closing",
         "_is_rejected",
         "_is_draining",
+        "_is_ending",
         "_extra_bytes",
     )
 
@@ -129,6 +131,7 @@
         self._is_closing = False
         self._is_rejected = False
         self._is_draining = False
+        self._is_ending = False
         self._timeout_start_s = now()
         self._start_head()
         self._is_reading_head = False
@@ -344,6 +347,8 @@
 
     def _start_runnable(self) -> None:
         """Start each complete request that may run beside the earlier ones."""
+        if self._is_ending:
+            return
         for index, item in enumerate(self._pending):
             if not item.is_complete:
                 return
@@ -382,9 +387,11 @@
             answer = item.answer
             if transport is None or transport.is_closing() or answer is None:
                 return
-            keep_alive = item.keep_alive and not answer.close
+            if answer.close or not item.keep_alive:
+                self._is_ending = True
             if self._is_draining and not self._pending and not self._is_reading_head:
-                keep_alive = False
+                self._is_ending = True
+            keep_alive = self._is_next_started() or not self._is_ending
             has_body = item.req.method != "HEAD"
             self.last_id = item.req.id
             transport.write(answer.encode(keep_alive, has_body))
@@ -397,6 +404,13 @@
             transport.resume_reading()
         self._start_runnable()
 
+    def _is_next_started(self) -> bool:
+        """Return whether the first pending request runs or has its answer."""
+        if not self._pending:
+            return False
+        item = self._pending[0]
+        return item.task is not None or item.answer is not None
+
     def _reject_current(self, answer: CallerAnswer) -> None:
         item = self._current
         if item is None:
