Bound what servers and callers that send without end cost a host

A server that sends chunks of some bytes held the loop for seconds, so that other services' requests ran out of time, and took fifty times the counted bytes in memory, as each chunk was kept as an object. Short header lines did the same on a smaller scale, callers with request bodies of small chunks too, and complete answers counted no more while nobody took them.

Bodies grow in one buffer, header lines are limited, fragmented messages share a rate of pieces, and the memory budget covers an answer until its caller has it.

--- a/src/crocusward/daemon/_process.py
+++ b/src/crocusward/daemon/_process.py
@@ -34,7 +34,7 @@
 )
 from ..settings import Settings
 from ..timing import LoopTimer, Subscription
-from ..upstream import HeaderNames, HttpPool, HttpUpstream
+from ..upstream import AnswerMemoryBudget, HeaderNames, HttpPool, HttpUpstream
 from ._burn_peers import BurnPeers
 from ._node import Node
 from ._options import NodeOptions, NodeSecrets
@@ -45,6 +45,7 @@
 MINUTE_S = 60.0
 REPLACED_HOSTS = 2  # hosts that may exist twice while they are replaced
 PLATFORM_CONNECTIONS = 8
+ANSWER_MEMORY_BYTES = 64 << 20  # for incomplete answers of backend servers
 
 
 class DaemonProcess:
@@ -72,7 +73,11 @@
             host.name, host.region, host.data_centre, secrets.randbits(64)
         )
         share = BACKEND_CONNECTIONS // (settings.fleet.max_hosts + REPLACED_HOSTS)
-        backend_pool = HttpPool(self._timer, connections=max(1, share))
+        backend_pool = HttpPool(
+            self._timer,
+            connections=max(1, share),
+            memory_budget=AnswerMemoryBudget(ANSWER_MEMORY_BYTES),
+        )
         self._pool = HttpPool(self._timer, connections=PLATFORM_CONNECTIONS)
         self._upstream = HttpUpstream(
             backend_pool, self._invariants, _header_names(settings)
--- a/src/crocusward/devtools/entry_soak/_network.py
+++ b/src/crocusward/devtools/entry_soak/_network.py
@@ -263,7 +263,9 @@
 
         def make():
             sock = cast(socket.socket, SimulatedSocket())
-            return HttpConnection(self._timer, sock, self._buffer, self._memory_budget)
+            return HttpConnection(
+                self._timer, sock, self._buffer, self.memory_budget, self.pacer
+            )
 
         self._network._next_port += 1
         local = (self._ip, self._network._next_port)
--- a/src/crocusward/entryd/_control.py
+++ b/src/crocusward/entryd/_control.py
@@ -5,6 +5,7 @@
 from ..desired import CallerLimits
 from ..platform import READY_PATH
 from ..relay import CallerAnswer, CallerRequest, make_refusal, show_digest
+from ..upstream import AnswerMemoryBudget
 from ._exposition import format_metrics
 from ._row_replicator import ROWS_PATH
 
@@ -21,6 +22,7 @@
 
     def __init__(self, process: "EntryProcess") -> None:
         self.limits = CallerLimits(8192, 0, 3.0, 60.0)
+        self.answer_memory: AnswerMemoryBudget | None = None
         self._process = process
 
     def can_run_concurrently(self, req: CallerRequest) -> bool:
--- a/src/crocusward/entryd/_exposition.py
+++ b/src/crocusward/entryd/_exposition.py
@@ -74,6 +74,21 @@
     lines.append(f"# TYPE {PREFIX}complete_pages_sent_total counter")
     count = process.row_replicator.complete_pages
     lines.append(f"{PREFIX}complete_pages_sent_total {count}")
+    memory = process.backend_pool.memory_budget
+    if memory is not None:
+        lines.append(f"# TYPE {PREFIX}answer_memory_bytes gauge")
+        lines.append(f"{PREFIX}answer_memory_bytes {memory.used_bytes}")
+        lines.append(f"# TYPE {PREFIX}answers_given_up_total counter")
+        lines.append(f"{PREFIX}answers_given_up_total {memory.aborted_count}")
+    pacers = {
+        "store": process.store_pool.pacer,
+        "backends": process.backend_pool.pacer,
+        "callers": process.callers.pacer,
+    }
+    lines.append(f"# TYPE {PREFIX}paced_reads_total counter")
+    for source, pacer in pacers.items():
+        count = pacer.pause_count
+        lines.append(f'{PREFIX}paced_reads_total{{from="{source}"}} {count}')
     pools = {"store": process.store_pool, "backends": process.backend_pool}
     for metric in ("silent_connections", "distrusted_connections"):
         lines.append(f"# TYPE {PREFIX}{metric}_total counter")
--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -238,6 +238,7 @@
             self.notices,
             self.crash_watch,
             facts.limits.memory_mb,
+            self.backend_pool.memory_budget,
         )
         control = ControlHandler(self)
         self.callers = Listener(self.relay, self.timer, self.sampler)
--- a/src/crocusward/lingering/_close.py
+++ b/src/crocusward/lingering/_close.py
@@ -17,12 +17,13 @@
 
 
 class LingerEnd(StrEnum):
-    """Why a lingering close ended before the peer closed."""
+    """Why a connection ended before its peer had taken all and closed."""
 
     QUIET = "quiet"  # everything was delivered, and nothing more came
     STALLED = "stalled"  # the peer took no more bytes
     TOO_LONG = "too_long"
     DISPLACED = "displaced"  # too many others linger
+    MEMORY = "memory"  # the answers took too much memory
 
 
 def count_unsent_bytes(transport: asyncio.Transport) -> int:
--- a/src/crocusward/relay/_caller.py
+++ b/src/crocusward/relay/_caller.py
@@ -10,19 +10,28 @@
 from ..desired import CallerLimits
 from ..lingering import LingerEnd, LingeringClose
 from ..platform import DEADLINE_MS_HEADER, REQUEST_ID_HEADER
-from ..upstream import parse_digits
+from ..upstream import AnswerMemoryBudget, PacedReads, ReadPacer, parse_digits
 from ._messages import CallerAnswer, CallerRequest, Headers, make_refusal
 
 MAX_PIPELINED_REQUESTS = 32  # per connection; reading pauses above it
 # Used until a desired state is loaded.
 DEFAULT_LIMITS = CallerLimits(16_384, 1 << 20, 3.0, 15.0)
-CHUNK_OVERHEAD_BYTES = 65_536  # chunk headers and trailers of one body
+# Chunk headers and extensions of one body, and as a multiple of its size.
+CHUNK_OVERHEAD_BYTES = 65_536
+CHUNK_OVERHEAD_FACTOR = 8
+READ_BUFFER_BYTES = 65_536
 
 
 class RequestHandler(Protocol):
-    """Answers the requests of caller connections."""
+    """Answers the requests of caller connections.
+
+    Attributes:
+        limits: Limits on requests.
+        answer_memory: Limits the answers that callers have not taken yet, or None.
+    """
 
     limits: CallerLimits
+    answer_memory: AnswerMemoryBudget | None
 
     async def answer(self, req: CallerRequest) -> CallerAnswer:
         """Answer a request; cancelled when the caller disconnects."""
@@ -47,9 +56,18 @@
         is_complete: Whether the whole request has been read.
         keep_alive: Whether the caller lets the connection stay open.
         reserved_bytes: Memory reserved for the body.
+        body: The body as far as it was read.
     """
 
-    __slots__ = ("req", "task", "answer", "is_complete", "keep_alive", "reserved_bytes")
+    __slots__ = (
+        "req",
+        "task",
+        "answer",
+        "is_complete",
+        "keep_alive",
+        "reserved_bytes",
+        "body",
+    )
 
     def __init__(self, req: CallerRequest, keep_alive: bool) -> None:
         self.req = req
@@ -58,9 +76,10 @@
         self.is_complete = False
         self.keep_alive = keep_alive
         self.reserved_bytes = 0
+        self.body = bytearray()
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.BufferedProtocol):
     """Parses pipelined requests and writes the answers in request order.
 
     Pipelined idempotent requests run concurrently. Any other request starts only once
@@ -71,6 +90,8 @@
     Args:
         handler: Answers the requests.
         now: Monotonic clock, in seconds.
+        pacer: Shares the loop among connections with fragmented requests.
+        buffer: Read buffer, which connections share: the parser copies what it keeps.
         on_open: Called with the connection when it is established.
         on_close: Called with the connection when it is lost.
         on_linger: Called with the connection when its lingering close begins.
@@ -85,6 +106,8 @@
         "last_id",
         "_handler",
         "_now",
+        "_reads",
+        "_buffer",
         "_on_open",
         "_on_close",
         "_on_linger",
@@ -103,13 +126,15 @@
         "_is_rejected",
         "_is_draining",
         "_is_ending",
-        "_extra_bytes",
+        "_framing_bytes",
     )
 
     def __init__(
         self,
         handler: RequestHandler,
         now: Callable[[], float],
+        pacer: ReadPacer,
+        buffer: memoryview,
         on_open: Callable[["CallerConnection"], object],
         on_close: Callable[["CallerConnection"], object],
         on_linger: Callable[["CallerConnection"], object],
@@ -118,6 +143,8 @@
         self.last_id = b""
         self._handler = handler
         self._now = now
+        self._reads = PacedReads(pacer, self._resume_reading)
+        self._buffer = buffer
         self._on_open = on_open
         self._on_close = on_close
         self._on_linger = on_linger
@@ -140,7 +167,7 @@
         self._target = b""
         self._headers: Headers = []
         self._head_bytes = 0
-        self._extra_bytes = 0
+        self._framing_bytes = 0
         self._is_reading_head = True
 
     # State.
@@ -212,24 +239,57 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
         self._transport = cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(high=0)
         self._on_open(self)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the shared read buffer, or a part of it."""
+        return self._reads.limit_read(self._buffer)
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Parse received bytes; malformed input ends only this connection."""
         if self._linger is not None:
-            self._linger.drop(len(data), self._now())
+            self._linger.drop(nbytes, self._now())
             return
         if self._is_closing or self._is_rejected:
             return
         if not self._is_reading_head:
             self._timeout_start_s = self._now()
+        self._framing_bytes += nbytes
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(self._buffer[:nbytes])
         except httptools.HttpParserUpgrade:
             self._reject(make_refusal(400, "upgrades are not supported", close=True))
         except httptools.HttpParserError:
             if not self._is_closing and not self._is_rejected:
                 self._reject(make_refusal(400, "the request is malformed", close=True))
+        else:
+            self._reads.end_read(nbytes, self._transport)
+            self._check_framing()
+
+    def _check_framing(self) -> None:
+        """Refuse a body whose chunk headers and extensions have no end."""
+        if self._current is None:
+            return
+        size = self._current.reserved_bytes
+        if self._framing_bytes > (CHUNK_OVERHEAD_FACTOR + 1) * size + (
+            CHUNK_OVERHEAD_BYTES + READ_BUFFER_BYTES
+        ):
+            self._reject(make_refusal(400, "too much chunk framing", close=True))
+
+    def _resume_reading(self) -> None:
+        """Resume reading unless it is paused for another reason."""
+        if self._transport is None or self._reads.is_paused:
+            return
+        if len(self._pending) <= MAX_PIPELINED_REQUESTS:
+            self._transport.resume_reading()
+
+    def resume_writing(self) -> None:
+        """Release the memory of answers that were handed to the kernel."""
+        self._release_answers()
+
+    def pause_writing(self) -> None:
+        """Keep the memory of answers reserved while they wait for the caller."""
 
     def eof_received(self) -> bool:
         """Treat the end of the stream as a disconnect of the caller."""
@@ -240,6 +300,9 @@
         """Cancel all pending requests."""
         self._is_closing = True
         self._cancel_all()
+        self._reads.close()
+        if self._handler.answer_memory is not None:
+            self._handler.answer_memory.release(id(self))
         self._on_close(self)
 
     def _cancel_all(self) -> None:
@@ -255,6 +318,7 @@
     def on_message_begin(self) -> None:
         """Start a request head and its timeout."""
         self._start_head()
+        self._reads.start_message()
         self._timeout_start_s = self._now()
 
     def on_url(self, url: bytes) -> None:
@@ -264,6 +328,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; trailers are discarded."""
+        self._reads.add_piece()
         self._check_head_size(len(name) + len(value) + 4)
         if self._is_reading_head:
             self._headers.append((name.lower(), value))
@@ -320,6 +385,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body, within the size and memory limits."""
+        self._reads.add_piece()
         item = self._current
         if item is None or self._is_closing:
             return
@@ -332,7 +398,7 @@
             self._reject_current(make_refusal(503, text, retry_after_s=1.0, close=True))
             raise ValueError("no memory")
         item.reserved_bytes = size
-        item.req.body = item.req.body + body if item.req.body else body
+        item.body += body
 
     def on_message_complete(self) -> None:
         """Mark the request as complete and start it if possible."""
@@ -341,6 +407,8 @@
         if item is None or self._is_closing:
             return
         item.is_complete = True
+        item.req.body = bytes(item.body)
+        item.body = bytearray()
         self._start_runnable()
 
     # Answers.
@@ -373,8 +441,23 @@
             item.answer = make_refusal(502, "internal error", close=True)
         else:
             item.answer = task.result()
+        memory = self._handler.answer_memory
+        if memory is not None:
+            memory.add(id(self), len(item.answer.body), self._abort_for_memory)
         self._write_answers()
 
+    def _abort_for_memory(self, reason: str) -> None:
+        self._on_linger_end(self, LingerEnd.MEMORY)
+        self.abort()
+
+    def _release_answers(self) -> None:
+        """Release the memory of answers once the caller has all that are ready."""
+        transport, memory = self._transport, self._handler.answer_memory
+        if transport is None or memory is None or transport.get_write_buffer_size():
+            return
+        if not any(item.answer is not None for item in self._pending):
+            memory.release(id(self))
+
     def _release_body(self, item: _PendingRequest) -> None:
         if item.reserved_bytes:
             self._handler.release_body_memory(item.reserved_bytes)
@@ -395,13 +478,13 @@
             has_body = item.req.method != "HEAD"
             self.last_id = item.req.id
             transport.write(answer.encode(keep_alive, has_body))
+            self._release_answers()
             self._timeout_start_s = self._now()
             if not keep_alive:
                 self._cancel_all()
                 self.close()
                 return
-        if transport is not None and len(self._pending) <= MAX_PIPELINED_REQUESTS:
-            transport.resume_reading()
+        self._resume_reading()
         self._start_runnable()
 
     def _is_next_started(self) -> bool:
--- a/src/crocusward/relay/_listener.py
+++ b/src/crocusward/relay/_listener.py
@@ -6,7 +6,8 @@
 from ..lingering import LingerEnd
 from ..logs import EventSampler, Level
 from ..timing import Subscription, TimerService
-from ._caller import CallerConnection, RequestHandler
+from ..upstream import ReadPacer
+from ._caller import READ_BUFFER_BYTES, CallerConnection, RequestHandler
 
 MAX_LISTEN_BACKLOG = 1024
 TIMEOUT_CHECK_PERIOD_S = 0.5
@@ -24,6 +25,7 @@
     Attributes:
         connections: Open connections.
         accepted: Number of connections accepted so far.
+        pacer: Paces the reads of fragmented requests.
         lingering: Connections whose close lingers, the oldest first.
         linger_ends: Number of lingering closes that ended before the caller closed, by
             reason.
@@ -32,6 +34,7 @@
     __slots__ = (
         "connections",
         "accepted",
+        "pacer",
         "lingering",
         "linger_ends",
         "_sampler",
@@ -50,6 +53,7 @@
         self.lingering: dict[CallerConnection, None] = {}
         self.linger_ends = dict.fromkeys(LingerEnd, 0)
         self._sampler = sampler
+        self.pacer = ReadPacer(timer)
         self.connections: set[CallerConnection] = set()
         self.accepted = 0
         self._handler = handler
@@ -65,11 +69,14 @@
         """
         loop = asyncio.get_running_loop()
         now: Callable[[], float] = self._timer.now
+        buffer = memoryview(bytearray(READ_BUFFER_BYTES))
 
         def make_connection() -> CallerConnection:
             return CallerConnection(
                 self._handler,
                 now,
+                self.pacer,
+                buffer,
                 self._on_open,
                 self._on_close,
                 self._on_linger,
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -20,6 +20,7 @@
     hedging,
 )
 from ..timing import TimerService
+from ..upstream import AnswerMemoryBudget
 from ._caller import DEFAULT_LIMITS
 from ._crash_watch import CRASHES_SERVERS, CrashWatch
 from ._exchange import BackendClient, Exchange, ExchangeEnd
@@ -63,6 +64,7 @@
         notices: Applies what servers tell this host about themselves.
         crash_watch: Knows the requests under which servers crashed.
         memory_mb: Memory of the host, in MiB.
+        answer_memory: See ``RequestHandler``.
 
     Attributes:
         limits: Limits on the requests of callers.
@@ -75,6 +77,7 @@
         "limits",
         "stops_at_s",
         "start_gate",
+        "answer_memory",
         "_timer",
         "_directory",
         "_load_table",
@@ -113,7 +116,9 @@
         notices: NoticeTracker,
         crash_watch: CrashWatch,
         memory_mb: int,
+        answer_memory: AnswerMemoryBudget | None = None,
     ) -> None:
+        self.answer_memory = answer_memory
         self.limits: CallerLimits = DEFAULT_LIMITS
         self.stops_at_s: float | None = None
         self.start_gate = StartGate(timer, directory)
--- a/src/crocusward/server/_http_server.py
+++ b/src/crocusward/server/_http_server.py
@@ -10,6 +10,7 @@
 
 from ..invariants import InvariantName, Invariants
 from ..timing import Subscription, TimerService
+from ..upstream import ReadPacer
 from ._application import CallerApplication
 from ._protocol import CallProtocol
 
@@ -41,6 +42,7 @@
         "_config",
         "_state",
         "_buffer",
+        "_pacer",
         "_sock",
         "_server",
         "_sweep",
@@ -63,6 +65,7 @@
         self._config = _make_config(app, cert, key)
         self._state = ServerState()
         self._buffer = memoryview(bytearray(READ_BYTES))
+        self._pacer = ReadPacer(timer)
         self._sock: socket.socket | None = None
         self._server: asyncio.Server | None = None
         self._sweep: Subscription | None = None
@@ -168,7 +171,11 @@
 
     def _make_protocol(self) -> CallProtocol:
         return CallProtocol(
-            self._buffer, config=self._config, server_state=self._state, app_state={}
+            self._buffer,
+            self._pacer,
+            config=self._config,
+            server_state=self._state,
+            app_state={},
         )
 
     async def _adopt(self, conn: socket.socket) -> None:
--- a/src/crocusward/server/_protocol.py
+++ b/src/crocusward/server/_protocol.py
@@ -16,10 +16,11 @@
 )
 
 from ..lingering import LingeringClose
-from ..upstream import has_no_stray_control_chars
+from ..upstream import PacedReads, ReadPacer, has_no_stray_control_chars
 from ._answers import SEND_ANSWER, TAKE_BODY, Headers
 
 MAX_HEAD_BYTES = 65_536  # of a request head, of trailers and of chunk extensions
+CHUNK_OVERHEAD_FACTOR = 8  # framing bytes for each byte of a body
 WRITE_TIMEOUT_S = 60.0  # a caller that takes no answer holds its memory
 HEAD_TIMEOUT_S = 10.0  # a head normally arrives in one segment
 
@@ -69,6 +70,7 @@
 
     Args:
         buffer: Receives what is read, shared by all connections of the loop.
+        pacer: Shares the loop among connections with fragmented requests.
         args: Passed to uvicorn's protocol.
         kwargs: Passed to uvicorn's protocol.
 
@@ -76,12 +78,17 @@
         busy_since_s: Time of the last start or end of activity, in seconds.
     """
 
-    def __init__(self, buffer: memoryview, *args: Any, **kwargs: Any) -> None:
+    def __init__(
+        self, buffer: memoryview, pacer: ReadPacer, *args: Any, **kwargs: Any
+    ) -> None:
         super().__init__(*args, **kwargs)
+        self._reads = PacedReads(pacer, self._resume_reading)
         self._buffer = buffer
         self.busy_since_s = self.loop.time()
         self._running: RequestResponseCycle | None = None
         self._unframed_bytes = 0
+        self._message_bytes = 0
+        self._body_bytes = 0
         self._in_head = False
         self._broken = False
         self._draining = False
@@ -150,6 +157,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell every pending request that the caller has gone away."""
         super().connection_lost(exc)
+        self._reads.close()
         running = self._running
         if running is not None and not running.response_complete:
             running.disconnected = True
@@ -157,8 +165,12 @@
         self.pipeline.clear()
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        """Return the buffer that all connections share."""
-        return self._buffer
+        """Return the buffer that all connections share, or a part of it."""
+        return self._reads.limit_read(self._buffer)
+
+    def _resume_reading(self) -> None:
+        if not self.flow.read_paused and not self.transport.is_closing():
+            self.transport.resume_reading()
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse bytes; a fault ends this connection and no other."""
@@ -167,6 +179,7 @@
         if self._broken:
             return
         self._unframed_bytes += nbytes
+        self._message_bytes += nbytes
         try:
             self.parser.feed_data(self._buffer[:nbytes])
         except httptools.HttpParserError:
@@ -177,7 +190,11 @@
             self._broken = True
             self.cycle.keep_alive = False
         else:
-            if self._unframed_bytes > MAX_HEAD_BYTES:
+            self._reads.end_read(nbytes, self.transport)
+            framing_bytes = self._message_bytes - self._body_bytes
+            if self._unframed_bytes > MAX_HEAD_BYTES or framing_bytes > (
+                2 * MAX_HEAD_BYTES + CHUNK_OVERHEAD_FACTOR * self._body_bytes
+            ):
                 self._reject()
 
     # Callbacks of the parser.
@@ -185,6 +202,9 @@
     def on_message_begin(self) -> None:
         """Note that a head has begun."""
         self._in_head = True
+        self._message_bytes = 0
+        self._body_bytes = 0
+        self._reads.start_message()
         self.busy_since_s = self.loop.time()
         super().on_message_begin()
 
@@ -213,6 +233,8 @@
     def on_body(self, body: bytes) -> None:
         """Keep a part of the body."""
         self._unframed_bytes = 0
+        self._body_bytes += len(body)
+        self._reads.add_piece()
         super().on_body(body)
 
     # Requests.
--- a/src/crocusward/upstream/__init__.py
+++ b/src/crocusward/upstream/__init__.py
@@ -14,6 +14,7 @@
 from ._interface import Upstream, UpstreamRequest
 from ._memory import AnswerMemoryBudget
 from ._pool import HttpPool
+from ._read_pacer import PacedReads, ReadPacer
 
 __all__ = [
     "CUT",
@@ -26,6 +27,8 @@
     "HttpAnswer",
     "HttpPool",
     "HttpUpstream",
+    "PacedReads",
+    "ReadPacer",
     "Upstream",
     "UpstreamRequest",
     "parse_digits",
--- a/src/crocusward/upstream/_connection.py
+++ b/src/crocusward/upstream/_connection.py
@@ -13,8 +13,10 @@
 from ..model import Record
 from ..timing import Subscription, TimerService
 from ._memory import AnswerMemoryBudget
+from ._read_pacer import PacedReads, ReadPacer
 
 MAX_HEAD_BYTES = 65_536  # also limits trailers and chunk extensions
+MAX_HEADER_LINES = 256  # of one answer, with interim answers and trailers
 MAX_SKIPPED_ANSWERS = 8  # mismatched answers in one exchange
 FRAMING_FACTOR = 8  # framing bytes for each body byte, in chunks of one byte
 PEEK_AFTER_IDLE_S = 0.2
@@ -67,6 +69,7 @@
             of a loop can share one; allocating a buffer for each read, as asyncio
             does by default, costs eight times as much as the system call.
         memory_budget: Limits the incomplete answers of all connections, or None.
+        pacer: Shares the loop among connections with fragmented answers.
 
     Attributes:
         is_closed: True once the connection can no longer be used.
@@ -91,6 +94,9 @@
         "_sock",
         "_buffer",
         "_memory_budget",
+        "_reads",
+        "_header_lines",
+        "_unbudgeted_bytes",
         "_transport",
         "_parser",
         "_pending_answer",
@@ -122,6 +128,7 @@
         sock: socket.socket,
         buffer: memoryview,
         memory_budget: AnswerMemoryBudget | None = None,
+        pacer: ReadPacer | None = None,
     ) -> None:
         self.is_closed = False
         self.idle_since_s = 0.0
@@ -135,6 +142,7 @@
         self._sock = sock
         self._buffer = buffer
         self._memory_budget = memory_budget
+        self._reads = PacedReads(pacer or ReadPacer(timer), self._resume_reading)
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._pending_answer: asyncio.Future[HttpAnswer] | None = None
@@ -153,7 +161,9 @@
 
     def _reset_answer(self) -> None:
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        self._body: bytes | bytearray = b""
+        self._header_lines = 0
+        self._unbudgeted_bytes = 0
         self._body_bytes = 0
         self._non_body_bytes = 0
         self._has_head = False
@@ -225,6 +235,7 @@
         self._limit_bytes = limit_bytes
         self._has_received = False
         self._reset_answer()
+        self._reads.start_message()
         self._set_deadline(timeout_s)
         try:
             transport.write(data)
@@ -257,8 +268,12 @@
         self._transport = cast(asyncio.Transport, transport)
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        """Return the shared read buffer."""
-        return self._buffer
+        """Return the shared read buffer, or a part of it."""
+        return self._reads.limit_read(self._buffer)
+
+    def _resume_reading(self) -> None:
+        if self._transport is not None and not self.is_closed:
+            self._transport.resume_reading()
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse the bytes read into the buffer."""
@@ -280,6 +295,11 @@
         if self._is_complete:
             self._complete_exchange(data)
             return
+        self._reads.end_read(nbytes, self._transport)
+        if self._memory_budget is not None and self._unbudgeted_bytes:
+            size = self._unbudgeted_bytes
+            self._unbudgeted_bytes = 0
+            self._memory_budget.add(id(self), size, self._fail)
         self._non_body_bytes += nbytes - (self._body_bytes - body_bytes_before)
         if self._non_body_bytes > MAX_HEAD_BYTES + FRAMING_FACTOR * self._body_bytes:
             self._fail("the head of the answer is too large")
@@ -310,6 +330,10 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailers are dropped."""
+        self._reads.add_piece()
+        self._header_lines += 1
+        if self._header_lines > MAX_HEADER_LINES:
+            raise ValueError("too many headers")
         if self._has_head:
             return
         name = name.lower()
@@ -363,6 +387,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body, up to the size limit."""
+        self._reads.add_piece()
         if self._is_skipping:
             return
         if self._is_complete or self.is_closed:
@@ -370,9 +395,13 @@
         self._body_bytes += len(body)
         if self._body_bytes > self._limit_bytes:
             raise ValueError("the body exceeds the size limit")
-        self._body.append(body)
-        if self._memory_budget is not None:
-            self._memory_budget.add(id(self), len(body), self._fail)
+        self._unbudgeted_bytes += len(body)
+        if not self._body:
+            self._body = body
+            return
+        if isinstance(self._body, bytes):
+            self._body = bytearray(self._body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Mark the answer as complete."""
@@ -391,7 +420,8 @@
             self._keep_alive = self._keep_alive and data[-4:] == b"\r\n\r\n"
         answer = self._pending_answer
         if answer is not None and not answer.done():
-            body = b"".join(self._body)
+            body = bytes(self._body)
+            self._body = b""
             answer.set_result(HttpAnswer(self._status, self._headers, body))
 
     # Timeouts. A timer outlives its exchange and is rescheduled only when it fires:
@@ -430,7 +460,8 @@
         if self.is_closed:
             return
         self.is_closed = True
-        self._body = []
+        self._body = b""
+        self._reads.close()
         if self._timeout is not None:
             self._timeout.cancel()
         if self.on_closed is not None:
--- a/src/crocusward/upstream/_memory.py
+++ b/src/crocusward/upstream/_memory.py
@@ -1,20 +1,21 @@
-"""Memory budget for the incomplete answers on all connections of a pool."""
+"""Memory budget for answers, from their first byte until their caller has them."""
 
 from collections.abc import Callable
 
 
 class AnswerMemoryBudget:
-    """Limits the total size of buffered answers that are not yet complete.
+    """Limits the total size of buffered answers.
 
-    Above the limit, the exchange with the largest buffer is aborted, so that a server
-    that sends an endless body cannot exhaust the memory or displace other answers.
+    Above the limit, the connection with the largest buffer is aborted, so that a server
+    that sends an endless body, or a caller that takes no answers, cannot exhaust the
+    memory or displace other answers.
 
     Args:
         limit_bytes: Maximum total size.
 
     Attributes:
         used_bytes: Current total size.
-        aborted_count: Number of aborted exchanges.
+        aborted_count: Number of aborted exchanges and connections.
     """
 
     __slots__ = (
@@ -38,7 +39,7 @@
         Args:
             owner: Identity of the connection.
             size_bytes: Size of the part.
-            abort: Aborts the exchange of the connection with a given reason.
+            abort: Aborts the exchange or connection with a given reason.
         """
         self._bytes_by_owner[owner] = self._bytes_by_owner.get(owner, 0) + size_bytes
         self._abort_by_owner[owner] = abort
@@ -48,7 +49,7 @@
             abort_largest = self._abort_by_owner[largest]
             self.release(largest)
             self.aborted_count += 1
-            abort_largest("the incomplete answers exceed the memory budget")
+            abort_largest("the buffered answers exceed the memory budget")
 
     def release(self, owner: int) -> None:
         """Remove the parts of a connection from the total."""
--- a/src/crocusward/upstream/_pool.py
+++ b/src/crocusward/upstream/_pool.py
@@ -10,6 +10,7 @@
 from ._encode import encode_request
 from ._headers import parse_digits
 from ._memory import AnswerMemoryBudget
+from ._read_pacer import ReadPacer
 
 DEFAULT_MAX_CONNECTIONS = 16
 DEFAULT_IDLE_TIMEOUT_S = 30.0
@@ -46,14 +47,17 @@
         silent_connections: Number of kept connections on which no byte of an answer
             arrived in time.
         distrusted_connections: Number of idle connections closed after that.
+        pacer: Paces the reads of fragmented answers.
+        memory_budget: Limits the total size of incomplete answers, or None.
     """
 
     __slots__ = (
         "connections",
         "silent_connections",
         "distrusted_connections",
+        "pacer",
+        "memory_budget",
         "_reuse",
-        "_memory_budget",
         "_timer",
         "_idle_s",
         "_connect_timeout_s",
@@ -77,7 +81,8 @@
         self.silent_connections = 0
         self.distrusted_connections = 0
         self._reuse = reuse
-        self._memory_budget = memory_budget
+        self.memory_budget = memory_budget
+        self.pacer = ReadPacer(timer)
         self._timer = timer
         self._idle_s = idle_s
         self._connect_timeout_s = connect_timeout_s
@@ -303,7 +308,9 @@
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             await loop.sock_connect(sock, (address, port))
-            conn = HttpConnection(self._timer, sock, self._buffer, self._memory_budget)
+            conn = HttpConnection(
+                self._timer, sock, self._buffer, self.memory_budget, self.pacer
+            )
             await loop.create_connection(lambda: conn, sock=sock)
             if conn.is_closed:
                 raise ConnectionResetError("the server closed the new connection")
--- a/tests/test_pipelined_refusals.py
+++ b/tests/test_pipelined_refusals.py
@@ -89,8 +89,10 @@
 
     async def test_malformed_request_behind_running_ones_is_answered_last(self):
         def send_garbage(relay):
-            transport = next(iter(relay.listener.connections))
-            transport.data_received(b"\x00 nonsense\r\n\r\n")
+            garbage = b"\x00 nonsense\r\n\r\n"
+            conn = next(iter(relay.listener.connections))
+            conn.get_buffer(-1)[: len(garbage)] = garbage
+            conn.buffer_updated(len(garbage))
 
         answers, _ = await self.play(
             *[("GET", "/look/x", SOON_MS)] * 2, after_send=send_garbage
