Play stale offers, lost removals, slow lines and floods in both soaks

No caller of the soaks pipelined over a slow line, no host was killed while it waited for another's slot, no removal fell into a reader's restart, no server flooded, and nothing checked which service ran a request.

--- a/src/crocusward/devtools/fault_soak/_callers.py
+++ b/src/crocusward/devtools/fault_soak/_callers.py
@@ -1,12 +1,14 @@
 """Callers that keep their connections until the far side is gone."""
 
 import asyncio
+import contextlib
 import random
 from itertools import count
 
 from ...model import Record
 from ._daemons import CALLER_PORT, Daemon
 
+LONG_LIMIT_S = 5.0  # of requests that wait for a slot
 ANSWER_S = 2.5  # beyond the time limit of every route
 PROMISES = frozenset({408, 421, 429, 503})  # statuses that say "not run"
 
@@ -24,6 +26,7 @@
         body: Body of the answer.
         digest: Digest of the answer.
         kept: Whether the connection had served a request before.
+        is_behind: Whether it was sent before an earlier request was answered.
     """
 
     __slots__ = (
@@ -36,6 +39,7 @@
         "body",
         "digest",
         "kept",
+        "is_behind",
     )
 
     def __init__(self, id: str, path: str, daemon: str, sent_s: float) -> None:
@@ -48,6 +52,41 @@
         self.body = b""
         self.digest = ""
         self.kept = False
+        self.is_behind = False
+
+
+async def ask_once(daemon: Daemon, id: str, path: str, asked: list[Asked]) -> None:
+    """Send one request with a long time limit, and record what becomes of it."""
+    loop = asyncio.get_running_loop()
+    item = Asked(id, path, daemon.name, loop.time())
+    asked.append(item)
+    with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
+        async with asyncio.timeout(LONG_LIMIT_S + ANSWER_S):
+            place = (daemon.address, CALLER_PORT)
+            reader, writer = await asyncio.open_connection(*place)
+            with contextlib.closing(writer):
+                head = (
+                    f"POST {path} HTTP/1.1\r\nHost: api.example\r\n"
+                    f"Crocusward-Request-Id: {id}\r\nContent-Length: 1\r\n"
+                    f"Crocusward-Deadline-Ms: {LONG_LIMIT_S * 1000:.0f}\r\n\r\nx"
+                )
+                writer.write(head.encode())
+                await read_answer(reader, item)
+    item.ended_s = loop.time()
+
+
+async def read_answer(reader: asyncio.StreamReader, item: Asked) -> bool:
+    """Read an answer; return whether the connection stays open."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    lines = head.split("\r\n")
+    headers = {}
+    for line in lines[1:-2]:
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+    item.body = await reader.readexactly(int(headers.get("content-length", "0")))
+    item.digest = headers.get("crocusward-response-signature", "")
+    item.status = int(lines[0].split(" ")[1])
+    return headers.get("connection", "").lower() != "close"
 
 
 class Caller:
@@ -117,7 +156,7 @@
         try:
             writer.write(head.encode() + body)
             async with asyncio.timeout(ANSWER_S):
-                keep = await self._read(reader, item)
+                keep = await read_answer(reader, item)
         except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
             item.status = 0
         finally:
@@ -126,15 +165,3 @@
                 writer.transport.abort()
                 self._streams = None
         self._served += 1
-
-    async def _read(self, reader: asyncio.StreamReader, item: Asked) -> bool:
-        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-        lines = head.split("\r\n")
-        headers = {}
-        for line in lines[1:-2]:
-            name, _, value = line.partition(":")
-            headers[name.lower()] = value.strip()
-        item.body = await reader.readexactly(int(headers.get("content-length", "0")))
-        item.digest = headers.get("crocusward-response-signature", "")
-        item.status = int(lines[0].split(" ")[1])
-        return headers.get("connection", "").lower() != "close"
--- a/src/crocusward/devtools/fault_soak/_checks.py
+++ b/src/crocusward/devtools/fault_soak/_checks.py
@@ -22,6 +22,17 @@
 ROLLBACK_SLACK_S = 0.25  # between the effect of a version and a request after it
 LIMIT_KNOWN_S = 0.5  # from an answer with a limit until the daemons know it
 HOME_PREFIX = "/home/"
+# Services to which the routes ever send, by the beginning of the path.
+SERVICES_OF_PATHS = {
+    "/look/": {"alpha"},
+    "/order/": {"beta"},
+    "/home/": {"alpha"},
+    "/move/": {"alpha", "beta"},
+    "/wait-alpha/": {"alpha"},
+    "/wait-beta/": {"beta"},
+}
+OBJECTIVE_S = 0.4  # of all routes
+MIN_FLOOD_SAMPLE = 10  # requests beside a flood, for a median
 MAX_CRASHES = 3  # under one request, until it is known as one that crashes servers
 BLOCKED_TEXT = b"servers crashed under this request"
 MAX_LATE_RUNS = 3  # of such a request, sent later than STABLE_S after that
@@ -60,6 +71,20 @@
         self.per_s = per_s
 
 
+class FloodSpan(Span):
+    """A time in which servers of a service send without end.
+
+    Attributes:
+        service: The service.
+    """
+
+    __slots__ = ("service",)
+
+    def __init__(self, service: str, start_s: float) -> None:
+        super().__init__(start_s, 1e18)
+        self.service = service
+
+
 class Promises:
     """Collects what happened and finds broken promises.
 
@@ -80,6 +105,7 @@
         notices: What servers told each daemon.
         harmed: Times in which the path to a server was harmed, by its id.
         crashes: Path and time of each request that crashed a server.
+        floods: Times in which servers send without end.
     """
 
     def __init__(self) -> None:
@@ -99,6 +125,7 @@
         self.notices = Notices()
         self.harmed: dict[str, list[Span]] = {}
         self.crashes: list[tuple[str, float]] = []
+        self.floods: list[FloodSpan] = []
 
     def broken(self) -> list[str]:
         """Return the broken promises."""
@@ -116,6 +143,8 @@
             *self._planned_stops(),
             *self._limits(),
             *self._crashes(),
+            *self._services(),
+            *self._delayed_by_floods(),
         ]
         return sorted(found)
 
@@ -135,6 +164,36 @@
                     found.append(f"own_answer: {item.id} got {item.body!r}")
         return found
 
+    def _services(self) -> list[str]:
+        """Return requests that ran at a service to which no route ever sent them."""
+        found = []
+        for run in self.runs:
+            for prefix, services in SERVICES_OF_PATHS.items():
+                if run.path.startswith(prefix) and run.service not in services:
+                    found.append(f"service: {run.id} {run.path} ran at {run.service}")
+        return found
+
+    def _delayed_by_floods(self) -> list[str]:
+        """Return floods beside which the other service's answers came late."""
+        found = []
+        for span in self.floods:
+            path = "/order/" if span.service == "alpha" else "/look/x"
+            times_s = sorted(
+                item.ended_s - item.sent_s
+                for item in self.asked
+                if item.path.startswith(path)
+                and span.start_s <= item.sent_s <= span.end_s
+                and self._is_calm(item.sent_s)
+            )
+            if len(times_s) < MIN_FLOOD_SAMPLE:
+                continue
+            median_s = times_s[len(times_s) // 2]
+            if median_s > OBJECTIVE_S:
+                found.append(
+                    f"flood: {path} took {median_s:.2f} s beside {span.service}"
+                )
+        return found
+
     def _crashes(self) -> list[str]:
         """Return requests that went on to servers after they crashed enough of them."""
         found = []
@@ -315,8 +374,11 @@
     def _planned_stops(self) -> list[str]:
         """Return requests that a planned stop cut although all else was calm."""
         found = []
+        ran = {run.id for run in self.runs}
         for name, stopped_s in self.stops:
             for item in self.asked:
+                if item.is_behind and item.id not in ran:
+                    continue
                 in_stop = stopped_s - 1.5 < item.ended_s < stopped_s + 7.0
                 was_read = item.ended_s - item.sent_s > CUT_SLACK_S
                 if item.daemon != name or item.status or not in_stop or not was_read:
--- a/src/crocusward/devtools/fault_soak/_daemons.py
+++ b/src/crocusward/devtools/fault_soak/_daemons.py
@@ -3,12 +3,15 @@
 import asyncio
 import json
 import os
+import re
 import signal
 import sys
 import time
 from pathlib import Path
 
 REPOSITORY = Path(__file__).resolve().parents[4]
+MEMORY_MB = 300
+KIB = 1024
 CALLER_PORT, READY_PORT, CONTROL_PORT, PEER_PORT = 18161, 18167, 18166, 17720
 
 
@@ -65,7 +68,7 @@
             },
             "portRange": [PEER_PORT, PEER_PORT + 5],
             "seeds": [f"{seed}:{CONTROL_PORT}" for seed in seeds],
-            "limits": {"cpuShare": 1.0, "memoryMb": 300, "maxFds": 1000},
+            "limits": {"cpuShare": 1.0, "memoryMb": MEMORY_MB, "maxFds": 1000},
             "heartbeat": "1500ms",
             "bounds": {
                 "drain": "2s",
@@ -116,6 +119,17 @@
         """Return True while the process runs."""
         return self._process is not None and self._process.returncode is None
 
+    def resident_bytes(self) -> int:
+        """Return the resident memory of the process, 0 if it does not run."""
+        if self._process is None or not self.is_running:
+            return 0
+        try:
+            status = Path(f"/proc/{self._process.pid}/status").read_text("ascii")
+        except OSError:  # it has just ended
+            return 0
+        found = re.search(r"VmRSS:\s+(\d+) kB", status)
+        return int(found[1]) * KIB if found else 0
+
     def _signal(self, number: int) -> None:
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(number)
--- a/src/crocusward/devtools/fault_soak/_faults.py
+++ b/src/crocusward/devtools/fault_soak/_faults.py
@@ -1,12 +1,14 @@
 """Faults of the soak; each begins, lasts, and ends."""
 
+import asyncio
 import contextlib
 import random
 from collections.abc import Callable, Coroutine
 from typing import TYPE_CHECKING, Any
 
 from ...registry import Registry
-from ._checks import APPLY_S, STABLE_S
+from ..standins._flood import FLOODS
+from ._checks import APPLY_S, STABLE_S, FloodSpan
 
 if TYPE_CHECKING:
     from ._world import World
@@ -17,6 +19,9 @@
 LIMIT_FACTOR = 2.0
 SERVICE_NAMES = ("alpha", "beta")
 LOST_WRITES = 300
+BUSY_S = 2.0  # work of a server for which requests wait
+STARTED_S = 0.9  # after which a restarted daemon serves
+READER_PAUSE_S = 3.5  # until the hosts are in touch again
 READ_S = 0.5  # until daemons have read a change, in calm
 COLD_S = 3.0  # of a server that has just started
 
@@ -208,6 +213,74 @@
             daemon.resume()
 
 
+@FAULTS.register("reader_restarts")
+async def restart_readers(world: "World", rng: random.Random, for_s: float) -> None:
+    """Remove servers while the daemon that reads the store restarts, in series."""
+    for _ in range(rng.choice([1, 2, 3])):
+        data_centre = rng.choice(world.data_centres)
+        members = [d for d in world.daemons if d.data_centre == data_centre]
+        reader = min(members, key=lambda daemon: daemon.name)
+        used = [t for t in world.targets if t.data_centre == data_centre]
+        reader.kill()
+        await reader.wait(2.0)
+        if used:
+            await world.remove_serving(rng.choice(used))
+        await world.sleep(rng.choice([0.0, 0.0, 0.3]))
+        await reader.start()
+        world.disturb(reader, 1.0)
+        await world.sleep(READER_PAUSE_S)
+
+
+@FAULTS.register("awaited_slots")
+async def restart_waiting(world: "World", rng: random.Random, for_s: float) -> None:
+    """Restart daemons twice within a second or so while they wait for others' slots.
+
+    Their data centre is out of service, and servers elsewhere are busy. After each
+    restart, requests for the other service wait there.
+    """
+    data_centre = rng.choice(world.data_centres)
+    members = [d for d in world.daemons if d.data_centre == data_centre]
+    out = asyncio.create_task(world.evacuate(data_centre, for_s + 9.0))
+    await world.sleep(APPLY_S)
+    services = rng.sample(SERVICE_NAMES, 2)
+    with world.unstable():
+        chosen = [t for t in world.targets if t.data_centre != data_centre]
+        for target in chosen:
+            target.work_s = BUSY_S
+        waiting = world.ask_for_slots(world.daemons, services[0])
+        await world.sleep(0.3)
+        for round_number in (1, 2):
+            waiting += world.ask_for_slots(members, services[round_number - 1])
+            await world.sleep(0.2 + 0.3 * rng.random())
+            for daemon in members:
+                daemon.kill()
+            for daemon in members:
+                await daemon.start()
+                world.disturb(daemon, 1.0)
+            await world.sleep(STARTED_S)
+            waiting += world.ask_for_slots(members, services[round_number % 2])
+        for target in chosen:
+            target.work_s = 0.0
+        await asyncio.gather(*waiting)
+    await out
+
+
+@FAULTS.register("server_floods")
+async def flood(world: "World", rng: random.Random, for_s: float) -> None:
+    """Let servers of one service send bytes without end."""
+    service = rng.choice(SERVICE_NAMES)
+    chosen = [t for t in world.targets if t.service == service]
+    span = FloodSpan(service, world.now_s())
+    world.promises.floods.append(span)
+    for target in rng.sample(chosen, min(len(chosen), rng.choice([1, 3, 6]))):
+        target.flood = rng.choice(sorted(FLOODS))
+        target.mode, target.share = "flood", 1.0
+    await world.sleep(for_s + 2.0)
+    span.end_s = world.now_s()
+    for target in chosen:
+        target.mode = ""
+
+
 @FAULTS.register("server_path")
 async def harm_path(world: "World", rng: random.Random, for_s: float) -> None:
     """Delay, reset, silence or cut one way the path to a server."""
--- a/src/crocusward/devtools/fault_soak/_targets.py
+++ b/src/crocusward/devtools/fault_soak/_targets.py
@@ -5,9 +5,16 @@
 from collections.abc import Callable, Collection
 
 from ...model import Record
+from ..standins._flood import FLOODS
 from ..standins._http import Connection, Listener, StandinRequest
 from ._notices import Notices, Pause
 
+LONG_PREFIX = "/look/long"
+LONG_ANSWER_BYTES = 30_000
+FLOOD_BLOCK_BYTES = 65_536
+MAX_FLOOD_BUFFER_BYTES = 262_144
+FLOOD_PERIOD_S = 0.005
+MAX_FLOOD_WRITES = 4  # in one period
 QUEUE = 4  # requests that wait beyond the slots
 
 
@@ -80,6 +87,8 @@
         self.limits: list[str] = []
         self.is_leaving = False
         self.pause_s = 0.0
+        self.flood = ""
+        self.work_s = 0.0
         self.deadly: Collection[str] = ()
         self.on_crash: Callable[[Target, str], object] | None = None
         self.slots = slots
@@ -165,7 +174,7 @@
             )
         )
         self._busy += 1
-        work_s = 0.02 + 0.06 * self._rng.random()
+        work_s = self.work_s or 0.02 + 0.06 * self._rng.random()
         loop.call_later(work_s, self._finish, conn, req, id)
 
     def _finish(self, conn: Connection, req: StandinRequest, id: str) -> None:
@@ -185,7 +194,12 @@
             return
         if mode == "hang":
             return
+        if mode == "flood":
+            self._begin_flood(conn, id)
+            return
         body = f"{id} at {self.service}".encode()
+        if req.path.startswith(LONG_PREFIX):
+            body += b" " * LONG_ANSWER_BYTES
         head = b"Crocusward-Request-Id: %s\r\n" % id.encode()
         head += b"Crocusward-Response-Signature: sig-%s\r\n" % id.encode()
         head += b"Crocusward-Server-Load: %d,%d,%d,100\r\n" % (
@@ -209,6 +223,22 @@
                 0.03 * self._rng.random(), self._write, conn, again
             )
 
+    def _begin_flood(self, conn: Connection, id: str) -> None:
+        """Answer without end, in one of the ways of the stand-ins."""
+        first, block = FLOODS[self.flood]
+        self._write(conn, first.replace(b"%(id)s", id.encode()))
+        self._go_on(conn, block * (FLOOD_BLOCK_BYTES // len(block) + 1))
+
+    def _go_on(self, conn: Connection, data: bytes) -> None:
+        transport = conn.transport
+        if transport is None or conn.closed or transport.is_closing():
+            return
+        for _ in range(MAX_FLOOD_WRITES):
+            if transport.get_write_buffer_size() < MAX_FLOOD_BUFFER_BYTES:
+                transport.write(data)
+        loop = asyncio.get_running_loop()
+        loop.call_later(FLOOD_PERIOD_S, self._go_on, conn, data)
+
     def _write(self, conn: Connection, data: bytes) -> None:
         if conn.transport is not None and not conn.closed:
             conn.transport.write(data)
--- a/src/crocusward/devtools/soak/_entry_plays.py
+++ b/src/crocusward/devtools/soak/_entry_plays.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from ...crashes import CrashRegistry
+from ...desired import TableReplica
 from ...desired._past_rows import PastRows
 from ...invariants import InvariantName
 from ...placing import NO_LIMIT, BackendLoad, PermitIssuer
@@ -15,6 +16,7 @@
     LimitedFleet,
     LimitedServer,
     RestoredStoreRun,
+    SlotOfferRun,
     WholeFleet,
     make_servers,
     play_faults,
@@ -39,6 +41,11 @@
 CRASHED_SERVERS = 12
 CRASHES_PLAYED_S = 9.0
 CRASH_REQUESTS_PER_S = 30.0
+OFFER_RUNS = 5
+RESTARTED_HOSTS = 3  # in each data centre
+RESTART_ROUNDS = 3
+RESTART_S = 0.1
+REMOVAL_BOUND_S = 3.0  # from a removal until it is in force everywhere
 INNOCENTS = ("/look/a", "/look/b", "/look/c")
 DATA_CENTRES = ("east-a", "east-b", "west-a")
 
@@ -224,3 +231,79 @@
         found = fleet.promises.broken()
         count = len(fleet.promises.asked)
     _report(totals, InvariantName.CRASHING_REQUEST, found, count)
+
+
+@ENTRY_PLAYS.register("reuse-tokens")
+def play_slot_offers(seed: int, totals: Totals, is_faulty: bool) -> None:
+    """Play hosts that restart while they wait for slots of others.
+
+    Args:
+        seed: Seed of the first run.
+        totals: Collects what was broken.
+        is_faulty: Whether each process numbers its slot requests from the same number.
+
+    Raises:
+        ViolationsFound: A request got a server of another service.
+    """
+    found: list[str] = []
+    asked = 0
+    with contextlib.ExitStack() as stack:
+        if is_faulty:
+            stack.enter_context(
+                mock.patch(
+                    "crocusward.devtools.entry_soak._slot_offers.make_first_token",
+                    lambda *_: 0,
+                )
+            )
+        for number in range(OFFER_RUNS):
+            run = SlotOfferRun(seed * OFFER_RUNS + number)
+            run.play()
+            found += run.findings
+            asked += run.asked_count
+    _report(totals, InvariantName.SERVICE, found, asked)
+
+
+@ENTRY_PLAYS.register("hand-out-gaps")
+def play_lost_removals(seed: int, totals: Totals, is_faulty: bool) -> None:
+    """Play servers that leave while the host that reads the store restarts.
+
+    Args:
+        seed: Seed of the run.
+        totals: Collects what was broken.
+        is_faulty: Whether hosts hand out changes from before their history starts.
+
+    Raises:
+        ViolationsFound: A host uses a server that has left.
+    """
+    rng = random.Random(seed)
+    found: list[str] = []
+    with contextlib.ExitStack() as stack:
+        if is_faulty:
+            stack.enter_context(
+                mock.patch.object(
+                    TableReplica,
+                    "get_changes_since",
+                    lambda self, at: self._collect_changes(at.version),
+                )
+            )
+        fleet = WholeFleet(seed, RESTARTED_HOSTS, DATAGRAM_LOSS)
+        stack.callback(fleet.close)
+        fleet.add_servers(2 * RESTART_ROUNDS)
+        fleet.network.advance(1.0)
+        for _ in range(RESTART_ROUNDS):
+            place = rng.choice(["east-a", "west-a"])
+            members = sorted(name for name in fleet.hosts if place in name)
+            restarted = members[: rng.choice((1, 1, 2))]
+            for name in restarted:
+                fleet.stop(name)
+            left = rng.choice(sorted(fleet.servers))
+            del fleet.servers[left]
+            fleet.store.drop("servers", left)
+            fleet.network.advance(RESTART_S * rng.random())
+            for name in restarted:
+                fleet.network.create_task(fleet.start(name))
+            fleet.network.advance(REMOVAL_BOUND_S + rng.random())
+            users = [n for n, h in fleet.hosts.items() if left in h.directory.backends]
+            if users:
+                found.append(f"{len(users)} hosts list {left}, which has left")
+    _report(totals, InvariantName.BACKEND_LEAVING, found, 0)
--- a/src/crocusward/invariants/_checks.py
+++ b/src/crocusward/invariants/_checks.py
@@ -25,6 +25,7 @@
     CONFIG_MONOTONIC = "config_monotonic"
     CONFIG_IN_TIME = "config_in_time"
     CRASHING_REQUEST = "crashing_request"
+    SERVICE = "service"
 
 
 class Violation(Record):
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -418,6 +418,11 @@
             is_limited = load.is_limited(self._now())
             if is_limited and self._rate_limits.now() > permit_end_s:
                 raise NotSentError("the permit has expired", code=PERMIT_EXPIRED)
+            self._invariants.check(
+                InvariantName.SERVICE,
+                any(part.service == load.entry.service for part in route.parts),
+                "a request is sent to a service that its route does not name",
+            )
             self._invariants.check(
                 InvariantName.RESIDENCY,
                 not route.regions or load.region in route.regions,
