Split the parsing of request heads from the connections of callers

Heads and pending requests are read without a connection, so they get a module of their own. No behaviour changes; the tests of the relay, of pipelined refusals and lingering closes pass.

--- a/src/crocusward/relay/_caller.py
+++ b/src/crocusward/relay/_caller.py
@@ -9,9 +9,9 @@
 
 from ..desired import CallerLimits
 from ..lingering import LingerEnd, LingeringClose
-from ..platform import DEADLINE_MS_HEADER, REQUEST_ID_HEADER
-from ..upstream import AnswerMemoryBudget, PacedReads, ReadPacer, parse_digits
+from ..upstream import AnswerMemoryBudget, PacedReads, ReadPacer
 from ._messages import CallerAnswer, CallerRequest, Headers, make_refusal
+from ._pending import PendingRequest, find_header, parse_head
 
 MAX_PIPELINED_REQUESTS = 32  # per connection; reading pauses above it
 # Used until a desired state is loaded.
@@ -46,39 +46,6 @@
         """Release ``size`` reserved bytes."""
 
 
-class _PendingRequest:
-    """A request that has not been answered yet.
-
-    Attributes:
-        req: The request.
-        task: Task that produces the answer, once started.
-        answer: The answer, once there is one.
-        is_complete: Whether the whole request has been read.
-        keep_alive: Whether the caller lets the connection stay open.
-        reserved_bytes: Memory reserved for the body.
-        body: The body as far as it was read.
-    """
-
-    __slots__ = (
-        "req",
-        "task",
-        "answer",
-        "is_complete",
-        "keep_alive",
-        "reserved_bytes",
-        "body",
-    )
-
-    def __init__(self, req: CallerRequest, keep_alive: bool) -> None:
-        self.req = req
-        self.task: asyncio.Task[CallerAnswer] | None = None
-        self.answer: CallerAnswer | None = None
-        self.is_complete = False
-        self.keep_alive = keep_alive
-        self.reserved_bytes = 0
-        self.body = bytearray()
-
-
 class CallerConnection(asyncio.BufferedProtocol):
     """Parses pipelined requests and writes the answers in request order.
 
@@ -152,8 +119,8 @@
         self._linger: LingeringClose | None = None
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        self._pending: deque[_PendingRequest] = deque()
-        self._current: _PendingRequest | None = None
+        self._pending: deque[PendingRequest] = deque()
+        self._current: PendingRequest | None = None
         self._is_reading_head = False
         self._is_closing = False
         self._is_rejected = False
@@ -342,47 +309,22 @@
     def on_headers_complete(self) -> None:
         """Check the head and queue the request."""
         self._is_reading_head = False
-        req = self._parse_head()
+        method = self._parser.get_method().decode("ascii")
+        req = parse_head(method, self._target, self._headers, self._now())
         if req is None:
             raise ValueError("the head is malformed")
-        item = _PendingRequest(req, self._parser.should_keep_alive())
+        item = PendingRequest(req, self._parser.should_keep_alive())
         self._current = item
         self._pending.append(item)
         if len(self._pending) > MAX_PIPELINED_REQUESTS and self._transport is not None:
             self._transport.pause_reading()
-        length = _find_header(req.headers, b"content-length")
+        length = find_header(req.headers, b"content-length")
         if length is not None and int(length) > self._handler.limits.body_bytes:
             self._reject_current(make_refusal(413, "the body is too large", close=True))
             raise ValueError("body too large")
-        if _find_header(req.headers, b"expect") is not None and self._transport:
+        if find_header(req.headers, b"expect") is not None and self._transport:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def _parse_head(self) -> CallerRequest | None:
-        hosts = [value for name, value in self._headers if name == b"host"]
-        if len(hosts) != 1 or not self._target.startswith(b"/"):
-            return None
-        try:
-            target = self._target.decode("ascii")
-            host = hosts[0].decode("ascii").lower()
-        except UnicodeDecodeError:
-            return None
-        if not host.startswith("["):
-            host = host.partition(":")[0]
-        time_left = _find_header(self._headers, DEADLINE_MS_HEADER)
-        time_left_s = None
-        if time_left is not None:
-            time_left_ms = parse_digits(time_left)
-            time_left_s = None if time_left_ms is None else time_left_ms / 1000.0
-        return CallerRequest(
-            self._parser.get_method().decode("ascii"),
-            target,
-            host,
-            self._headers,
-            id=_find_header(self._headers, REQUEST_ID_HEADER) or b"",
-            received_s=self._now(),
-            time_left_s=time_left_s,
-        )
-
     def on_body(self, body: bytes) -> None:
         """Append a part of the body, within the size and memory limits."""
         self._reads.add_piece()
@@ -425,14 +367,14 @@
                     return
                 self._start_request(item)
 
-    def _start_request(self, item: _PendingRequest) -> None:
+    def _start_request(self, item: PendingRequest) -> None:
         coro: Coroutine[Any, Any, CallerAnswer] = self._handler.answer(item.req)
         task = asyncio.get_running_loop().create_task(coro)
         item.task = task
         task.add_done_callback(lambda done: self._on_answered(item, done))
 
     def _on_answered(
-        self, item: _PendingRequest, task: "asyncio.Task[CallerAnswer]"
+        self, item: PendingRequest, task: "asyncio.Task[CallerAnswer]"
     ) -> None:
         self._release_body(item)
         if task.cancelled() or (self._is_closing and not self._pending):
@@ -458,7 +400,7 @@
         if not any(item.answer is not None for item in self._pending):
             memory.release(id(self))
 
-    def _release_body(self, item: _PendingRequest) -> None:
+    def _release_body(self, item: PendingRequest) -> None:
         if item.reserved_bytes:
             self._handler.release_body_memory(item.reserved_bytes)
             item.reserved_bytes = 0
@@ -516,16 +458,9 @@
         req = CallerRequest(
             "GET", "/", "", [], id=b"", received_s=self._now(), time_left_s=None
         )
-        item = _PendingRequest(req, False)
+        item = PendingRequest(req, False)
         item.answer = answer
         self._pending.append(item)
         if self._transport is not None:
             self._transport.pause_reading()
         self._write_answers()
-
-
-def _find_header(headers: Headers, name: bytes) -> bytes | None:
-    for key, value in headers:
-        if key == name:
-            return value
-    return None
