Test that explain shows stale offers, histories and cut answers

The events are in the logs since their fixes; nothing checked that crocusward explain prints them around a request. The test passes; without the two events in STATE_EVENTS it fails by reading of the code, not by a run.

--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 from crocusward.cli import main
+from crocusward.cli._explain import explain
 from crocusward.logs import EventSampler, LineBuffer, LogPipe, start_logs
 
 from .entry_support import RelayOnLoopback, backend, desired, reply, route
@@ -127,3 +128,22 @@
 
     def write(self, text):
         raise BlockingIOError
+
+
+class ContextTest(unittest.TestCase):
+    """Guards against causes in the logs that are not shown with a request."""
+
+    def test_offers_histories_cuts_and_given_up_answers_are_shown(self):
+        lines = [
+            "time=2026-12-05T10:00:01 event=slot_offer_ignored reason=not_awaited",
+            "time=2026-12-05T10:00:02 event=neighbour_history_incomplete table=op",
+            "time=2026-12-05T10:00:03 event=offered_slot_unusable id=q7 backend=b1",
+            "time=2026-12-05T10:00:04 event=attempt_failed id=q7 reason=memory",
+            "time=2026-12-05T10:00:05 event=caller_connection_cut id=q7 reason=stalled",
+            "time=2026-12-05T10:00:05 event=caller_connection_cut id=q8 reason=stalled",
+        ]
+        found = explain("q7", [("host-1", lines)])
+        self.assertEqual(
+            [item.text.split()[0] for item in found],
+            [f"event={line.partition('event=')[2].split()[0]}" for line in lines[:5]],
+        )
