Slow the pipelining callers of the fault soak down

Its logs show no_time refusals of the service that twelve slow callers ask about 190 times a second, as much as all of its servers can bear: with some of them cold or gone, the soak's own callers overload it.

--- a/src/crocusward/devtools/fault_soak/_slow_callers.py
+++ b/src/crocusward/devtools/fault_soak/_slow_callers.py
@@ -11,8 +11,8 @@
 from ._daemons import CALLER_PORT, Daemon
 
 WINDOW_BYTES = 4096
-READ_PAUSE_S = 0.008  # after each window: about 4 Mbit/s
-SEND_PAUSE_S = 0.06  # mean time between requests
+READ_PAUSE_S = 0.012  # after each window: less than 3 Mbit/s
+SEND_PAUSE_S = 0.08  # mean time between requests
 MAX_BEHIND = 6  # requests without an answer
 PATH = "/look/long"
 
