--- a/src/crocusward/devtools/entry_soak/_whole_hosts.py
+++ b/src/crocusward/devtools/entry_soak/_whole_hosts.py
@@ -52,6 +52,7 @@
         self.servers: dict[str, Target] = {}
         self.deadly: set[str] = set()
         self.promises = Promises()
+        self.promises.services = {"/look/": {SERVICE}}
         self._version = 0
         self._number = 0
         self._tasks: set[asyncio.Task[None]] = set()
--- a/src/crocusward/devtools/fault_soak/_checks.py
+++ b/src/crocusward/devtools/fault_soak/_checks.py
@@ -106,6 +106,7 @@
         harmed: Times in which the path to a server was harmed, by its id.
         crashes: Path and time of each request that crashed a server.
         floods: Times in which servers send without end.
+        services: Services to which routes ever send, by the beginning of the path.
     """
 
     def __init__(self) -> None:
@@ -126,6 +127,7 @@
         self.harmed: dict[str, list[Span]] = {}
         self.crashes: list[tuple[str, float]] = []
         self.floods: list[FloodSpan] = []
+        self.services: dict[str, set[str]] = SERVICES_OF_PATHS
 
     def broken(self) -> list[str]:
         """Return the broken promises."""
@@ -168,7 +170,7 @@
         """Return requests that ran at a service to which no route ever sent them."""
         found = []
         for run in self.runs:
-            for prefix, services in SERVICES_OF_PATHS.items():
+            for prefix, services in self.services.items():
                 if run.path.startswith(prefix) and run.service not in services:
                     found.append(f"service: {run.id} {run.path} ran at {run.service}")
         return found
