Do not blame a planned stop for what a kill during it cut

The platform kills only after the grace time, and a kill excuses the requests that end with it.

The check leaves out requests that end with or after a kill of that daemon since its stop began; a cut before the kill, or a kill before the stop, still counts, as the test shows.

--- a/src/crocusward/devtools/fault_soak/_checks.py
+++ b/src/crocusward/devtools/fault_soak/_checks.py
@@ -13,6 +13,7 @@
 APPLY_S = 2.0
 STABLE_S = 3.0  # calm before a bound counts
 CUT_SLACK_S = 0.2
+KILL_SLACK_S = 0.05  # between a signal and what callers see of it
 LIMIT_STABLE_S = 3.0  # from the first answer with a limit until it binds
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
@@ -100,6 +101,7 @@
         namings_s: When a server answered with a valid limit, by its id, in order.
         starts_s: When each daemon of a data centre was started.
         lifetimes_s: When a daemon was started, by its name.
+        kills_s: When a daemon was killed, by its name.
         addresses: IP addresses of the daemons, by name.
         cold: Cold times of servers, by id.
         notices: What servers told each daemon.
@@ -121,6 +123,7 @@
         self.namings_s: dict[str, list[float]] = {}
         self.starts_s: dict[str, list[list[float]]] = {}
         self.lifetimes_s: dict[str, list[float]] = {}
+        self.kills_s: dict[str, list[float]] = {}
         self.addresses: dict[str, str] = {}
         self.cold: dict[str, Span] = {}
         self.notices = Notices()
@@ -374,7 +377,10 @@
         )
 
     def _planned_stops(self) -> list[str]:
-        """Return requests that a planned stop cut although all else was calm."""
+        """Return requests that a planned stop cut although all else was calm.
+
+        What ends with a daemon that is killed during its stop is not the stop's doing.
+        """
         found = []
         ran = {run.id for run in self.runs}
         for name, stopped_s in self.stops:
@@ -385,6 +391,11 @@
                 was_read = item.ended_s - item.sent_s > CUT_SLACK_S
                 if item.daemon != name or item.status or not in_stop or not was_read:
                     continue
+                if any(
+                    stopped_s < kill_s < item.ended_s + KILL_SLACK_S
+                    for kill_s in self.kills_s.get(name, ())
+                ):
+                    continue
                 if self._is_calm(item.sent_s) and self._is_calm(item.ended_s):
                     found.append(f"planned_stop: {name} cut {item.id}")
         return found
--- a/src/crocusward/devtools/fault_soak/_daemons.py
+++ b/src/crocusward/devtools/fault_soak/_daemons.py
@@ -24,6 +24,7 @@
         data_centre: Its data centre.
         disturbed_s: When it was last started, signalled or paused, in seconds.
         starts_s: When it was started, in seconds.
+        kills_s: When it was killed, in seconds.
     """
 
     def __init__(
@@ -41,6 +42,7 @@
         self.data_centre = data_centre
         self.disturbed_s = 0.0
         self.starts_s: list[float] = []
+        self.kills_s: list[float] = []
         self.paused = False
         self.stopping_s: float | None = None
         self._settings = directory / f"{name}.json"
@@ -138,6 +140,7 @@
     def kill(self) -> None:
         """End the process at once."""
         self._is_killed = True
+        self.kills_s.append(asyncio.get_running_loop().time())
         self._signal(signal.SIGKILL)
         self.paused = False
 
--- a/src/crocusward/devtools/fault_soak/_world.py
+++ b/src/crocusward/devtools/fault_soak/_world.py
@@ -518,6 +518,7 @@
             starts_s = world.promises.starts_s.setdefault(daemon.data_centre, [])
             starts_s.append(daemon.starts_s)
             world.promises.lifetimes_s[daemon.name] = daemon.starts_s
+            world.promises.kills_s[daemon.name] = daemon.kills_s
             world.promises.addresses[daemon.name] = daemon.address
         world.findings += world.promises.broken()
         return world
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -231,7 +231,11 @@
     def test_cut_by_a_planned_stop(self):
         self.promises.asked = [asked(status=0, sent_s=11.0, ended_s=11.5)]
         self.promises.stops = [("h1", 10.0)]
-        self.assert_broken("planned_stop")
+        for kills_s in ([], [9.0], [11.8]):
+            self.promises.kills_s = {"h1": kills_s}
+            self.assert_broken("planned_stop")
+        self.promises.kills_s = {"h1": [11.49]}  # by another fault
+        self.assertEqual(self.promises.broken(), [])
 
 
 class NetworkTest(unittest.TestCase):
