Log what the end of each attempt rests on

attempt_failed said end=not_run for a refusal whatever it named, so the hypotheses of the postmortem could not be told apart. It now has evidence (nothing written, a refusal that names the request, one that names none, one without the mark, no answer), conn_exchange (number of the exchange on its connection) and skipped (answers to other requests before the end).

--- a/src/crocusward/errors/_errors.py
+++ b/src/crocusward/errors/_errors.py
@@ -29,10 +29,14 @@
         reused: True if the connection had served an earlier request.
         idle_s: Idle time of the connection before the request, in seconds.
         was_reset: True if the connection broke with an error, rather than in order.
+        exchange_number: Number of the exchange on its connection, from 1.
+        skipped_answers: Number of answers to other requests that came before the end.
     """
 
     code = "exchange_lost"
     reused = False
+    exchange_number = 0
+    skipped_answers = 0
     idle_s = 0.0
     was_reset = False
 
--- a/src/crocusward/relay/_exchange.py
+++ b/src/crocusward/relay/_exchange.py
@@ -33,12 +33,10 @@
     parse_retry_after,
     select_end_to_end_headers,
 )
+from ._evidence import REFUSAL_STATUSES, Evidence, classify_answer
 from ._messages import CallerAnswer, CallerRequest, Headers
 
 MAX_ANSWER_BYTES = 16 << 20  # answers are buffered until they are known to be complete
-# Statuses with which a server refuses a request. 421 always says that the request has
-# not run; the others, as any status from 400, only with the not-run header.
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
 RETRY_AFTER_HEADER = b"retry-after"
@@ -76,9 +74,21 @@
         answer: The answer to pass on, or None.
         reason: Short description for logs and metrics.
         is_cut: Whether the connection ended before a byte of an answer.
+        evidence: What the end rests on.
+        exchange_number: Number of the exchange on its connection, 0 if not written.
+        skipped_answers: Number of answers to other requests that were skipped.
     """
 
-    __slots__ = ("end", "observation", "answer", "reason", "is_cut")
+    __slots__ = (
+        "end",
+        "observation",
+        "answer",
+        "reason",
+        "is_cut",
+        "evidence",
+        "exchange_number",
+        "skipped_answers",
+    )
 
     def __init__(
         self,
@@ -87,12 +97,16 @@
         answer: CallerAnswer | None = None,
         reason: str = "",
         is_cut: bool = False,
+        evidence: Evidence = Evidence.NO_ANSWER,
     ) -> None:
         self.end = end
         self.observation = observation
         self.answer = answer
         self.reason = reason
         self.is_cut = is_cut
+        self.evidence = evidence
+        self.exchange_number = 0
+        self.skipped_answers = 0
 
     @property
     def has_usable_answer(self) -> bool:
@@ -169,13 +183,18 @@
             self._reduce_idle_limit(entry.service, exc)
             is_silent = exc.code in (SILENT, LATE)
             kind = ObservationKind.SILENT if is_silent else ObservationKind.FAILED
-            return Exchange(
+            exchange = Exchange(
                 ExchangeEnd.UNKNOWN,
                 BackendObservation(entry.id, kind),
                 reason=str(exc),
                 is_cut=exc.code == CUT,
             )
+            exchange.exchange_number = exc.exchange_number
+            exchange.skipped_answers = exc.skipped_answers
+            return exchange
         exchange = _read_answer(entry.id, answer, req)
+        exchange.exchange_number = answer.exchange_number
+        exchange.skipped_answers = answer.skipped_answers
         exchange.observation.asked_s = asked_s
         exchange.observation.answered_s = boot_time_s()
         return exchange
@@ -244,7 +263,12 @@
         observation = BackendObservation(id, ObservationKind.UNREACHABLE)
     else:
         observation = BackendObservation(id, ObservationKind.REFUSED)
-    return Exchange(ExchangeEnd.NOT_RUN, observation, reason=exc.code)
+    return Exchange(
+        ExchangeEnd.NOT_RUN,
+        observation,
+        reason=exc.code,
+        evidence=Evidence.NOT_WRITTEN,
+    )
 
 
 def _match_answer(headers: Headers, id: bytes) -> AnswerMatch:
@@ -268,18 +292,34 @@
         elif name == BODY_DIGEST_HEADER:
             has_digest = True
     status = answer.status
+    is_own = answer.match is AnswerMatch.OWN
+    evidence = classify_answer(status, is_own=is_own, is_marked=has_not_run_header)
+    exchange = _judge_answer(evidence, observation, answer, req, has_digest)
+    exchange.evidence = evidence
+    return exchange
+
+
+def _judge_answer(
+    evidence: Evidence,
+    observation: BackendObservation,
+    answer: HttpAnswer,
+    req: CallerRequest,
+    has_digest: bool,
+) -> Exchange:
+    """Decide whether the request has run, and whether the answer is passed on."""
+    status = answer.status
     if status == MISDIRECTED_STATUS:
         # Needs no header: another server answered, so the request has not run.
         observation.kind = ObservationKind.MISDIRECTED
         return Exchange(ExchangeEnd.NOT_RUN, observation, reason="misdirected")
     _read_rate_limit(answer.headers, observation)
     _read_notices(answer, observation)
-    if has_not_run_header and status >= 400:
+    if evidence in (Evidence.OWN_REFUSAL, Evidence.UNNAMED_REFUSAL):
         observation.kind = ObservationKind.REFUSED
         return Exchange(
             ExchangeEnd.NOT_RUN, observation, reason=f"refused with {status}"
         )
-    if status in NOT_RUN_STATUSES:
+    if status in REFUSAL_STATUSES:
         # Without the not-run header the request may have run.
         observation.kind = ObservationKind.FAILED
         reason = f"status {status} without a mark"
--- a/src/crocusward/relay/_requests.py
+++ b/src/crocusward/relay/_requests.py
@@ -150,6 +150,9 @@
             backend=result.observation.backend,
             end=result.end.value,
             reason=result.reason,
+            evidence=result.evidence.value,
+            conn_exchange=result.exchange_number,
+            skipped=result.skipped_answers,
             attempt=call.attempts,
             age_s=self._now() - call.began_s,
         )
--- a/src/crocusward/upstream/_connection.py
+++ b/src/crocusward/upstream/_connection.py
@@ -47,16 +47,36 @@
         status: HTTP status code.
         headers: Headers in order, with names in lower case.
         body: Complete body.
+        match: Which request it names, or None if that was not examined.
+        exchange_number: Number of its exchange on the connection, from 1.
+        skipped_answers: Number of answers to other requests that came before it.
     """
 
-    __slots__ = ("status", "headers", "body")
+    __slots__ = (
+        "status",
+        "headers",
+        "body",
+        "match",
+        "exchange_number",
+        "skipped_answers",
+    )
 
     def __init__(
-        self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
+        self,
+        status: int,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes,
+        *,
+        match: AnswerMatch | None = None,
+        exchange_number: int = 0,
+        skipped_answers: int = 0,
     ) -> None:
         self.status = status
         self.headers = headers
         self.body = body
+        self.match = match
+        self.exchange_number = exchange_number
+        self.skipped_answers = skipped_answers
 
 
 class HttpConnection(asyncio.BufferedProtocol):
@@ -116,6 +136,7 @@
         "_has_length",
         "_keep_alive",
         "_matches",
+        "_match",
         "_has_named_answer",
         "_is_skipping",
         "_skips_left",
@@ -154,6 +175,7 @@
         self._status = 0
         self._skips_left = 0
         self._matches: MatchRequest | None = None
+        self._match: AnswerMatch | None = None
         self._has_named_answer = False
         self._allow_close_delimited = False
         self._has_received = False
@@ -230,6 +252,7 @@
         self.exchange_count += 1
         self._skips_left = MAX_SKIPPED_ANSWERS
         self._matches = matches_request
+        self._match = None
         self._allow_close_delimited = allow_close_delimited
         self._is_head_request = is_head_request
         self._limit_bytes = limit_bytes
@@ -354,7 +377,7 @@
         if status > 599:
             raise ValueError("the status code is out of range")
         if self._matches is not None:
-            match = self._matches(status, self._headers)
+            match = self._match = self._matches(status, self._headers)
             is_unnamed = match is AnswerMatch.UNNAMED
             if match is AnswerMatch.OTHER or (is_unnamed and self._has_named_answer):
                 self._skip_mismatched_answer()
@@ -422,7 +445,16 @@
         if answer is not None and not answer.done():
             body = bytes(self._body)
             self._body = b""
-            answer.set_result(HttpAnswer(self._status, self._headers, body))
+            answer.set_result(
+                HttpAnswer(
+                    self._status,
+                    self._headers,
+                    body,
+                    match=self._match,
+                    exchange_number=self.exchange_count,
+                    skipped_answers=MAX_SKIPPED_ANSWERS - self._skips_left,
+                )
+            )
 
     # Timeouts. A timer outlives its exchange and is rescheduled only when it fires:
     # starting and cancelling a timer for each exchange costs more than parsing.
@@ -470,4 +502,6 @@
         if answer is not None and not answer.done():
             lost = ExchangeLostError(reason, code=code)
             lost.was_reset = was_reset
+            lost.exchange_number = self.exchange_count
+            lost.skipped_answers = MAX_SKIPPED_ANSWERS - self._skips_left
             answer.set_exception(lost)
--- a/src/crocusward/upstream/_pool.py
+++ b/src/crocusward/upstream/_pool.py
@@ -47,6 +47,7 @@
         silent_connections: Number of kept connections on which no byte of an answer
             arrived in time.
         distrusted_connections: Number of idle connections closed after that.
+        skipped_answers: Number of answers skipped as belonging to other requests.
         pacer: Paces the reads of fragmented answers.
         memory_budget: Limits the total size of incomplete answers, or None.
     """
@@ -55,6 +56,7 @@
         "connections",
         "silent_connections",
         "distrusted_connections",
+        "skipped_answers",
         "pacer",
         "memory_budget",
         "_reuse",
@@ -80,6 +82,7 @@
         self.connections = connections
         self.silent_connections = 0
         self.distrusted_connections = 0
+        self.skipped_answers = 0
         self._reuse = reuse
         self.memory_budget = memory_budget
         self.pacer = ReadPacer(timer)
@@ -154,11 +157,13 @@
                 matches_request=matches_request,
                 allow_close_delimited=allow_close_delimited,
             )
+            self.skipped_answers += answer.skipped_answers
             if check is not None:
                 check(answer)
         except BaseException as exc:
             conn.abort()
             if isinstance(exc, ExchangeLostError):
+                self.skipped_answers += exc.skipped_answers
                 exc.reused = conn.exchange_count > 1
                 exc.idle_s = conn.idle_before_s
                 if exc.reused and exc.code == SILENT:
