Reproduce requests that run twice after a repeated refusal

A whole daemon in front of six servers that refuse three of ten probes, or requests, without an id, and write the refusal again when the next request on the connection arrives. Runs are counted by id at the servers.

The process of FloodedDaemon is shared as WholeDaemon.

--- a/src/crocusward/devtools/fault_soak/_targets.py
+++ b/src/crocusward/devtools/fault_soak/_targets.py
@@ -16,6 +16,7 @@
 FLOOD_PERIOD_S = 0.005
 MAX_FLOOD_WRITES = 4  # in one period
 QUEUE = 4  # requests that wait beyond the slots
+SLOWDOWNS_PERCENT = (100, 700)  # of a machine that is shared with others
 
 
 class Run(Record):
@@ -62,6 +63,10 @@
         limits: Values of the rate limit that it names in each answer, not all valid.
         is_leaving: Whether it says in each answer that it leaves.
         pause_s: Retry-After of its refusals, 0.0 without one.
+        repeated: What it refuses twice, without an id: "", "probe" or "request". The
+            copy comes where the next answer on the connection is expected.
+        refusal_head: Status line and not-run header of these refusals.
+        refusals_sent: Number of these refusals, without the copies.
         deadly: Paths whose requests end the server while they run.
         on_crash: Called with the server and the path that ended it.
         listener: Where it listens.
@@ -87,6 +92,9 @@
         self.limits: list[str] = []
         self.is_leaving = False
         self.pause_s = 0.0
+        self.repeated = ""
+        self.refusal_head = b""
+        self.refusals_sent = 0
         self.flood = ""
         self.work_s = 0.0
         self.deadly: Collection[str] = ()
@@ -99,6 +107,7 @@
         self._rng = rng
         self._busy = 0
         self._waiting: list[tuple[Connection, StandinRequest]] = []
+        self._copies: dict[Connection, bytes] = {}
 
     def on_connect(self, conn: Connection) -> bool:
         """Accept a connection."""
@@ -108,14 +117,21 @@
     def on_close(self, conn: Connection) -> None:
         """Forget a connection."""
         self.listener.conns.discard(conn)
+        self._copies.pop(conn, None)
 
     def on_request(self, conn: Connection, req: StandinRequest) -> None:
         """Run a request, or misbehave."""
         now_s = asyncio.get_running_loop().time()
-        load = b"Crocusward-Server-Load: %d,%d,%d,100\r\n"
-        head = load % (self._busy, len(self._waiting), self.slots)
-        head += self._limit_lines()
-        if req.path == "/health":
+        copy = self._copies.pop(conn, b"")
+        if copy:
+            self._write(conn, copy)
+        head = self._load_line(self._busy) + self._limit_lines()
+        is_probe = req.path == "/health"
+        if self.repeated == ("probe" if is_probe else "request"):
+            if self._rng.random() < self.share:
+                self._refuse_twice(conn, head)
+                return
+        if is_probe:
             head += b"Crocusward-Instance-Id: %s\r\n" % self.id.encode()
             conn.respond(200, b"", head)
             return
@@ -137,6 +153,20 @@
         else:
             self._start(conn, req)
 
+    def _refuse_twice(self, conn: Connection, head: bytes) -> None:
+        refusal = self.refusal_head + b"Content-Length: 0\r\n" + head + b"\r\n"
+        conn.busy = False
+        self.refusals_sent += 1
+        self._write(conn, refusal)
+        self._copies[conn] = refusal
+
+    def _load_line(self, running: int) -> bytes:
+        slowdown = SLOWDOWNS_PERCENT[0]
+        if self.repeated:
+            slowdown = self._rng.choice(SLOWDOWNS_PERCENT)
+        counts = (running, len(self._waiting), self.slots, slowdown)
+        return b"Crocusward-Server-Load: %d,%d,%d,%d\r\n" % counts
+
     def _limit_lines(self) -> bytes:
         if len(self.limits) == 1:
             self._namings_s.append(asyncio.get_running_loop().time())
@@ -202,11 +232,7 @@
             body += b" " * LONG_ANSWER_BYTES
         head = b"Crocusward-Request-Id: %s\r\n" % id.encode()
         head += b"Crocusward-Response-Signature: sig-%s\r\n" % id.encode()
-        head += b"Crocusward-Server-Load: %d,%d,%d,100\r\n" % (
-            self._busy + 1,
-            len(self._waiting),
-            self.slots,
-        )
+        head += self._load_line(self._busy + 1)
         head += self._limit_lines() + self._leaving_line(id, conn)
         if mode == "cut" and conn.transport is not None and not conn.closed:
             full = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s\r\n" % (
--- a/tests/flooded_daemon.py
+++ b/tests/flooded_daemon.py
@@ -2,24 +2,25 @@
 
 import asyncio
 import contextlib
-import json
 import random
 import re
-import tempfile
 from pathlib import Path
 
-from crocusward.devtools.fault_soak._daemons import CALLER_PORT, Daemon, unix_ms
+from crocusward.devtools.fault_soak._daemons import CALLER_PORT
 from crocusward.devtools.fault_soak._notices import Notices
 from crocusward.devtools.fault_soak._targets import Target
-from crocusward.devtools.fault_soak._world import World
-from crocusward.devtools.standins import RowsStandin
 from crocusward.devtools.standins._flood import FloodingServer
 
-READY_S = 20.0
+from .daemon_support import WholeDaemon
+
 ANSWER_S = 5.0  # beyond the time limit of every route
 CALM_LIMIT_S = 1.5
 FLOOD_LIMIT_S = 3.0
 KIB = 1024
+ROUTES = [
+    ["calm", "api.example", "/calm/", "safe", "1500ms", "400ms", "calm"],
+    ["flood", "api.example", "/flood/", "unsafe", "3s", "1s", "flood"],
+]
 
 
 class Answered:
@@ -30,7 +31,7 @@
         self.took_s = took_s
 
 
-class FloodedDaemon:
+class FloodedDaemon(WholeDaemon):
     """Runs one daemon as a process, and measures it from outside.
 
     Attributes:
@@ -40,6 +41,7 @@
     """
 
     def __init__(self, floods, *, servers=3):
+        super().__init__(ROUTES)
         self.calm = []
         self.flooded = []
         self.peak_rss_bytes = 0
@@ -47,83 +49,27 @@
         self._servers = [FloodingServer(*flood) for flood in floods * servers]
 
     async def __aenter__(self):
-        self._stack = contextlib.ExitStack()
-        folder = Path(self._stack.enter_context(tempfile.TemporaryDirectory()))
-        self.folder = folder
-        self.store = RowsStandin()
-        await self.store.start()
-        self._locks = World(random.randrange(200), 1, 1, folder)
-        self.address = f"{self._locks.reserve_network()}.10"
+        await super().__aenter__()
+        self._watch = asyncio.create_task(self._watch_memory())
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self._watch.cancel()
+        await super().__aexit__(*exc_info)
+
+    async def start_servers(self):
         self._target = Target(
             "i-calm", "calm", "east-a", [], [], Notices(), random.Random(1), slots=8
         )
         await self._target.listener.open()
-        self._register("i-calm", "calm", self._target.listener.port)
+        self.register("i-calm", "calm", self._target.listener.port)
         for index, server in enumerate(self._servers):
-            self._register(f"i-flood-{index}", "flood", server.port)
-        self._write_state()
-        self.daemon = Daemon(
-            "host-a",
-            self.address,
-            "east-a",
-            {"east-a": "east"},
-            self.store.port,
-            [self.address],
-            folder,
-        )
-        await self.daemon.start()
-        async with asyncio.timeout(READY_S):
-            while not await self.daemon.is_ready():
-                await asyncio.sleep(0.1)
-        self._watch = asyncio.create_task(self._watch_memory())
-        return self
+            self.register(f"i-flood-{index}", "flood", server.port)
 
-    async def __aexit__(self, *exc_info):
-        self._watch.cancel()
+    def stop_servers(self):
         for server in self._servers:
             server.close()
-        self.daemon.kill()
-        await self.daemon.wait(3.0)
         self._target.listener.shut()
-        self.store.stop()
-        self._locks.release_network()
-        self._stack.close()
-
-    def _register(self, id, service, port):
-        entry = {
-            "service": service,
-            "address": f"127.0.0.1:{port}",
-            "zone": "east-a",
-            "version": "v1",
-            "slots": 8,
-            "state": "ready",
-            "warmupLeft": "0s",
-            "seq": 1,
-            "born": unix_ms() - 60_000,
-        }
-        self.store.put("servers", id, json.dumps(entry).encode())
-
-    def _write_state(self):
-        columns = ["name", "host", "prefix", "kind", "timeout", "slo", "service"]
-        rows = [
-            ["calm", "api.example", "/calm/", "safe", "1500ms", "400ms", "calm"],
-            ["flood", "api.example", "/flood/", "unsafe", "3s", "1s", "flood"],
-        ]
-        document = {
-            "version": "00000001",
-            "routes": {"columns": columns, "rows": rows},
-            "services": {
-                "columns": ["name", "healthPath", "maxConns", "warmup", "warmupPerS"],
-                "rows": [[name, "/health", 200, "3s", 50.0] for _, *_, name in rows],
-            },
-            "limits": {
-                "maxHeaderBytes": 16384,
-                "maxBodyBytes": 64 << 20,
-                "headerTimeout": "3s",
-                "idleTimeout": "15s",
-            },
-        }
-        self.store.put("op", "config", json.dumps(document).encode())
 
     async def _watch_memory(self):
         status = Path(f"/proc/{self.daemon._process.pid}/status")
