Believe a refusal only if it names the request

Callers saw unsafe requests that ran more than once, and 503 ('not run') for requests that had run. Cause: an answer without a request id counted as the answer of the request that waited, unless an earlier one on the connection had named its request. Health probes carry no id and share the connections, so a second copy of a probe's refusal was taken for the refusal of the next request, which was then sent to another server.

Servers name the request in each answer to one that has an id. So an answer that names none is skipped on each connection that has carried anything before, and on a new one it proves nothing: an unsafe request gets 502, a safe one may be repeated. After it the connection is closed, since the answer to the request may still follow.

--- a/src/crocusward/relay/_evidence.py
+++ b/src/crocusward/relay/_evidence.py
@@ -17,6 +17,11 @@
     UNNAMED_REFUSAL = "unnamed_refusal"  # says "not run" and names no request
     NO_ANSWER = "no_answer"  # written, and no complete answer arrived
 
+    @property
+    def proves_not_run(self) -> bool:
+        """Whether the request has not run there and never will."""
+        return self in (Evidence.NOT_WRITTEN, Evidence.OWN_REFUSAL)
+
 
 def classify_answer(status: int, *, is_own: bool, is_marked: bool) -> Evidence:
     """Return what an answer shows about whether its request has run.
@@ -28,8 +33,6 @@
     """
     if is_marked and status >= 400:
         return Evidence.OWN_REFUSAL if is_own else Evidence.UNNAMED_REFUSAL
-    if not is_own:
-        return Evidence.UNNAMED_ANSWER
     if status in REFUSAL_STATUSES:
         return Evidence.UNMARKED_REFUSAL
-    return Evidence.OWN_ANSWER
+    return Evidence.OWN_ANSWER if is_own else Evidence.UNNAMED_ANSWER
--- a/src/crocusward/relay/_exchange.py
+++ b/src/crocusward/relay/_exchange.py
@@ -26,6 +26,7 @@
     LATE,
     SILENT,
     AnswerMatch,
+    ConnectionHistory,
     HttpAnswer,
     HttpPool,
     parse_digits,
@@ -33,7 +34,7 @@
     parse_retry_after,
     select_end_to_end_headers,
 )
-from ._evidence import REFUSAL_STATUSES, Evidence, classify_answer
+from ._evidence import Evidence, classify_answer
 from ._messages import CallerAnswer, CallerRequest, Headers
 
 MAX_ANSWER_BYTES = 16 << 20  # answers are buffered until they are known to be complete
@@ -43,6 +44,12 @@
 LEAVING_VALUE = b"1"
 MS_PER_S = 1000.0
 UNLOADED_SLOWDOWN_PERCENT = 100.0  # load reports give the slowdown in percent
+# What each kind of refusal says of the server, and the reason to log.
+_REFUSALS = {
+    Evidence.OWN_REFUSAL: (ObservationKind.REFUSED, "refused with"),
+    Evidence.UNNAMED_REFUSAL: (ObservationKind.REFUSED, "unnamed refusal with"),
+    Evidence.UNMARKED_REFUSAL: (ObservationKind.FAILED, "unmarked refusal with"),
+}
 _REMOVED_REQUEST_HEADERS = HOP_BY_HOP_NAMES | {
     b"content-length",
     DEADLINE_MS_HEADER,
@@ -172,7 +179,10 @@
                 timeout_s=time_left_s,
                 limit_bytes=MAX_ANSWER_BYTES,
                 before_write=before_write,
-                matches_request=lambda _, found: _match_answer(found, req.id),
+                matches_request=lambda found, history: match_answer(
+                    found, req.id, history
+                ),
+                keep_after_unnamed=False,
                 allow_close_delimited=True,
                 max_idle_s=self.idle_limit_s.get(entry.service),
                 host=req.host.encode("ascii"),
@@ -271,12 +281,20 @@
     )
 
 
-def _match_answer(headers: Headers, id: bytes) -> AnswerMatch:
+def match_answer(
+    headers: Headers, id: bytes, history: ConnectionHistory
+) -> AnswerMatch:
+    """Return which request an answer belongs to.
+
+    Servers name the request in each answer to one that has an id. An answer without
+    one may be the copy of an answer to a probe or to an earlier request, unless the
+    connection has carried nothing before. Then a server that cannot parse the request
+    may have sent it.
+    """
     for name, value in headers:
         if name == REQUEST_ID_HEADER:
             return AnswerMatch.OWN if value == id else AnswerMatch.OTHER
-    # A server that cannot parse a request answers without a request id.
-    return AnswerMatch.UNNAMED
+    return AnswerMatch.UNNAMED if history.exchange_count == 1 else AnswerMatch.OTHER
 
 
 def _read_answer(id: str, answer: HttpAnswer, req: CallerRequest) -> Exchange:
@@ -308,22 +326,16 @@
 ) -> Exchange:
     """Decide whether the request has run, and whether the answer is passed on."""
     status = answer.status
-    if status == MISDIRECTED_STATUS:
-        # Needs no header: another server answered, so the request has not run.
-        observation.kind = ObservationKind.MISDIRECTED
-        return Exchange(ExchangeEnd.NOT_RUN, observation, reason="misdirected")
-    _read_rate_limit(answer.headers, observation)
-    _read_notices(answer, observation)
-    if evidence in (Evidence.OWN_REFUSAL, Evidence.UNNAMED_REFUSAL):
-        observation.kind = ObservationKind.REFUSED
-        return Exchange(
-            ExchangeEnd.NOT_RUN, observation, reason=f"refused with {status}"
-        )
-    if status in REFUSAL_STATUSES:
-        # Without the not-run header the request may have run.
-        observation.kind = ObservationKind.FAILED
-        reason = f"status {status} without a mark"
-        return Exchange(ExchangeEnd.UNKNOWN, observation, reason=reason)
+    is_misdirected = status == MISDIRECTED_STATUS and answer.match is AnswerMatch.OWN
+    if not is_misdirected:
+        _read_rate_limit(answer.headers, observation)
+        _read_notices(answer, observation)
+    if evidence in _REFUSALS:
+        kind, reason = _REFUSALS[evidence]
+        observation.kind = ObservationKind.MISDIRECTED if is_misdirected else kind
+        proves_not_run = evidence.proves_not_run or is_misdirected
+        end = ExchangeEnd.NOT_RUN if proves_not_run else ExchangeEnd.UNKNOWN
+        return Exchange(end, observation, reason=f"{reason} {status}")
     if 200 <= status < 300 and not has_digest:
         observation.kind = ObservationKind.FAILED
         return Exchange(
--- a/src/crocusward/upstream/__init__.py
+++ b/src/crocusward/upstream/__init__.py
@@ -1,7 +1,14 @@
 """HTTP/1.1 client for backend servers; it never retries a request."""
 
 from ._client import HttpUpstream
-from ._connection import CUT, LATE, SILENT, AnswerMatch, HttpAnswer
+from ._connection import (
+    CUT,
+    LATE,
+    SILENT,
+    AnswerMatch,
+    ConnectionHistory,
+    HttpAnswer,
+)
 from ._encode import has_no_stray_control_chars
 from ._headers import (
     HOP_BY_HOP_NAMES,
@@ -23,6 +30,7 @@
     "HOP_BY_HOP_NAMES",
     "AnswerMatch",
     "AnswerMemoryBudget",
+    "ConnectionHistory",
     "HeaderNames",
     "HttpAnswer",
     "HttpPool",
--- a/src/crocusward/upstream/_client.py
+++ b/src/crocusward/upstream/_client.py
@@ -5,7 +5,7 @@
 from ..errors import ExchangeLostError, NotSentError
 from ..invariants import InvariantName, Invariants
 from ..model import Backend, BackendAnswer
-from ._connection import AnswerMatch, Headers, HttpAnswer
+from ._connection import AnswerMatch, ConnectionHistory, Headers, HttpAnswer
 from ._encode import INVALID_REQUEST
 from ._headers import (
     HOP_BY_HOP_NAMES,
@@ -130,10 +130,16 @@
         self._read_rate_limit(answer, result)
         return result
 
-    def _match_answer(self, status: int, headers: Headers) -> AnswerMatch:
-        """Return whether an answer names a request; the check compares which."""
-        is_named = any(name == self._names.request_id for name, _ in headers)
-        return AnswerMatch.OWN if is_named else AnswerMatch.UNNAMED
+    def _match_answer(
+        self, headers: Headers, history: ConnectionHistory
+    ) -> AnswerMatch:
+        """Return whether an answer names a request; the check compares which.
+
+        Servers need not name requests, but one that does so names them all.
+        """
+        if any(name == self._names.request_id for name, _ in headers):
+            return AnswerMatch.OWN
+        return AnswerMatch.OTHER if history.has_named_answer else AnswerMatch.UNNAMED
 
     def _check_request_id(self, answer: HttpAnswer, request_id: bytes) -> None:
         name = self._names.request_id
--- a/src/crocusward/upstream/_connection.py
+++ b/src/crocusward/upstream/_connection.py
@@ -5,7 +5,7 @@
 import socket
 from collections.abc import Callable
 from enum import Enum
-from typing import cast
+from typing import Protocol, cast
 
 import httptools
 
@@ -30,14 +30,26 @@
 
 
 class AnswerMatch(Enum):
-    """Which request an answer names."""
+    """Which request an answer belongs to."""
 
-    OWN = "own"  # the request that waits for it
-    OTHER = "other"
-    UNNAMED = "unnamed"  # none
+    OWN = "own"  # names the request that waits for it
+    OTHER = "other"  # is not for that request, and is skipped
+    UNNAMED = "unnamed"  # names none
 
 
-MatchRequest = Callable[[int, Headers], AnswerMatch]
+class ConnectionHistory(Protocol):
+    """What a connection has carried before an answer.
+
+    Attributes:
+        exchange_count: Number of exchanges, with the one in progress.
+        has_named_answer: Whether an answer has named its request.
+    """
+
+    exchange_count: int
+    has_named_answer: bool
+
+
+MatchRequest = Callable[[Headers, ConnectionHistory], AnswerMatch]
 
 
 class HttpAnswer(Record):
@@ -97,6 +109,7 @@
         idle_limit_s: Idle time after which it is not reused, in seconds.
         idle_before_s: Idle time before the last exchange, in seconds.
         exchange_count: Number of exchanges started.
+        has_named_answer: Whether an answer has named its request.
         skipped_answers: Number of answers skipped as belonging to another request.
         on_closed: Called once when the connection is closed.
     """
@@ -107,6 +120,7 @@
         "idle_limit_s",
         "idle_before_s",
         "exchange_count",
+        "has_named_answer",
         "skipped_answers",
         "on_closed",
         "_timer",
@@ -137,7 +151,6 @@
         "_keep_alive",
         "_matches",
         "_match",
-        "_has_named_answer",
         "_is_skipping",
         "_skips_left",
         "_allow_close_delimited",
@@ -156,6 +169,7 @@
         self.idle_limit_s = math.inf
         self.idle_before_s = 0.0
         self.exchange_count = 0
+        self.has_named_answer = False
         self.skipped_answers = 0
         self.on_closed: Callable[[HttpConnection], object] | None = None
         self._timer = timer
@@ -176,7 +190,6 @@
         self._skips_left = 0
         self._matches: MatchRequest | None = None
         self._match: AnswerMatch | None = None
-        self._has_named_answer = False
         self._allow_close_delimited = False
         self._has_received = False
         self._reset_answer()
@@ -235,10 +248,9 @@
                 whatever its headers say.
             timeout_s: Time limit, in seconds.
             limit_bytes: Maximum size of the body.
-            matches_request: Tells from status and headers which request an answer
-                names. One that names another request is skipped: a server may send a
-                late second answer to an earlier request. One that names none is skipped
-                if an earlier answer on the connection named its request.
+            matches_request: Tells from headers and history which request an answer
+                belongs to. One of another request is skipped: a server may send a
+                late second answer to an earlier request.
             allow_close_delimited: Whether to accept a body without a length that ends
                 with an orderly close of the connection.
 
@@ -377,12 +389,11 @@
         if status > 599:
             raise ValueError("the status code is out of range")
         if self._matches is not None:
-            match = self._match = self._matches(status, self._headers)
-            is_unnamed = match is AnswerMatch.UNNAMED
-            if match is AnswerMatch.OTHER or (is_unnamed and self._has_named_answer):
+            match = self._match = self._matches(self._headers, self)
+            if match is AnswerMatch.OTHER:
                 self._skip_mismatched_answer()
                 return
-            self._has_named_answer |= match is AnswerMatch.OWN
+            self.has_named_answer |= match is AnswerMatch.OWN
         self._has_head = True
         self._keep_alive = self._parser.should_keep_alive()
         if self._is_head_request:
--- a/src/crocusward/upstream/_pool.py
+++ b/src/crocusward/upstream/_pool.py
@@ -6,7 +6,13 @@
 
 from ..errors import ExchangeLostError, NotSentError
 from ..timing import Subscription, TimerService
-from ._connection import SILENT, HttpAnswer, HttpConnection, MatchRequest
+from ._connection import (
+    SILENT,
+    AnswerMatch,
+    HttpAnswer,
+    HttpConnection,
+    MatchRequest,
+)
 from ._encode import encode_request
 from ._headers import parse_digits
 from ._memory import AnswerMemoryBudget
@@ -108,6 +114,7 @@
         check: Callable[[HttpAnswer], object] | None = None,
         before_write: Callable[[], object] | None = None,
         matches_request: MatchRequest | None = None,
+        keep_after_unnamed: bool = True,
         allow_close_delimited: bool = False,
         max_idle_s: float | None = None,
         host: bytes | None = None,
@@ -128,6 +135,8 @@
             before_write: Called immediately before the first byte is written; if
                 it raises, nothing is written.
             matches_request: See ``HttpConnection.exchange``.
+            keep_after_unnamed: Whether the connection may be reused after an answer
+                that names no request. The answer to this one may still follow.
             allow_close_delimited: See ``HttpConnection.exchange``.
             max_idle_s: Maximum idle time of a reused connection, in seconds.
             host: Value of the Host header; defaults to address and port.
@@ -169,6 +178,8 @@
                 if exc.reused and exc.code == SILENT:
                     self._distrust_idle(endpoint, sent_s)
             raise
+        if answer.match is AnswerMatch.UNNAMED and not keep_after_unnamed:
+            conn.abort()
         self._release(endpoint, conn, answer)
         return answer
 
