Believe 421 only with the not-run mark

421 counted as not run without the mark and without an id, so an unsafe request could be sent again on the word of a server that had begun to run it, or of a copy meant for another one. It now needs what every refusal needs. An own 421 without the mark still says that the server is another one, and keeps it out of use.

test_misdirected_without_the_mark_may_hide_a_run failed before (200 from a second server in place of 502).

--- a/src/crocusward/devtools/fault_soak/_targets.py
+++ b/src/crocusward/devtools/fault_soak/_targets.py
@@ -139,7 +139,7 @@
         own = b"Crocusward-Request-Id: %s\r\n" % id
         self._notices.arrivals.append((self.id, id.decode(), now_s))
         if req.headers.get(b"crocusward-expected-instance", b"").decode() != self.id:
-            conn.respond(421, b"", own)
+            conn.respond(421, b"", own + b"Crocusward-Not-Executed: 1\r\n")
             return
         mode = self.mode if self._rng.random() < self.share else ""
         is_full = self._busy + len(self._waiting) >= self.slots + QUEUE
--- a/src/crocusward/relay/_exchange.py
+++ b/src/crocusward/relay/_exchange.py
@@ -333,8 +333,7 @@
     if evidence in _REFUSALS:
         kind, reason = _REFUSALS[evidence]
         observation.kind = ObservationKind.MISDIRECTED if is_misdirected else kind
-        proves_not_run = evidence.proves_not_run or is_misdirected
-        end = ExchangeEnd.NOT_RUN if proves_not_run else ExchangeEnd.UNKNOWN
+        end = ExchangeEnd.NOT_RUN if evidence.proves_not_run else ExchangeEnd.UNKNOWN
         return Exchange(end, observation, reason=f"{reason} {status}")
     if 200 <= status < 300 and not has_digest:
         observation.kind = ObservationKind.FAILED
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -81,6 +81,19 @@
         found, count = await self.ask_refused("GET", "/look/a")
         self.assertEqual((found.body, count), (b"other", 1))
 
+    async def test_misdirected_without_the_mark_may_hide_a_run(self):
+        """Guards against a second run after 421 that does not say 'not run'."""
+        plain = reply("q1", b"", b"421 Misdirected Request")
+        async with (
+            ScriptedServer([plain]) as server,
+            ScriptedServer([reply("q1", b"other")]) as other,
+        ):
+            async with self.relay(server, other) as relay:
+                relay.book.loads["b1"].own_in_flight = 1
+                client = await relay.client()
+                found = await client.ask("POST", "/order/a")
+            self.assertEqual((found.status, len(other.requests)), (502, 0))
+
 
 class CutHeadTest(RelayTestCase):
     async def test_head_that_stops_in_the_middle_is_no_answer(self):
