Skip answers that name several requests

The first of several ids decided, so a refusal that names this request and another one counted as its own. test_refusal_with_two_ids_is_skipped failed before (the request went to a second server while the first one ran it).

--- a/src/crocusward/relay/_exchange.py
+++ b/src/crocusward/relay/_exchange.py
@@ -291,9 +291,9 @@
     connection has carried nothing before. Then a server that cannot parse the request
     may have sent it.
     """
-    for name, value in headers:
-        if name == REQUEST_ID_HEADER:
-            return AnswerMatch.OWN if value == id else AnswerMatch.OTHER
+    named = [value for name, value in headers if name == REQUEST_ID_HEADER]
+    if named:
+        return AnswerMatch.OWN if set(named) == {id} else AnswerMatch.OTHER
     return AnswerMatch.UNNAMED if history.exchange_count == 1 else AnswerMatch.OTHER
 
 
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -94,6 +94,14 @@
                 found = await client.ask("POST", "/order/a")
             self.assertEqual((found.status, len(other.requests)), (502, 0))
 
+    async def test_refusal_with_two_ids_is_skipped(self):
+        """Guards against a refusal that names this request and another one."""
+        two = SHED.replace(b"q1\r\n", b"q2\r\nCrocusward-Request-Id: q1\r\n")
+        found, count = await self.ask_twice(
+            reply("q1", b"one"), two, 0.05, reply("q2", b"two")
+        )
+        self.assertEqual((found.body, count), (b"two", 0))
+
 
 class CutHeadTest(RelayTestCase):
     async def test_head_that_stops_in_the_middle_is_no_answer(self):
