Skip answers that name a request where a probe waits

A late second answer to a request was taken for the report of the next probe, whose own answer then came where that of the next request was expected. Probes have no id, so an answer that names a request is not theirs. test_copy_of_an_answer_to_a_request_is_no_answer_to_a_probe failed before (9 requests running by the copy, 1 by the server's own report).

--- a/src/crocusward/relay/_exchange.py
+++ b/src/crocusward/relay/_exchange.py
@@ -38,6 +38,7 @@
 from ._messages import CallerAnswer, CallerRequest, Headers
 
 MAX_ANSWER_BYTES = 16 << 20  # answers are buffered until they are known to be complete
+MAX_PROBE_BYTES = 4096
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
 RETRY_AFTER_HEADER = b"retry-after"
@@ -236,7 +237,13 @@
         asked_s = boot_time_s()
         try:
             answer = await self._pool.request(
-                address, port, "GET", path, timeout_s=timeout_s, limit_bytes=4096
+                address,
+                port,
+                "GET",
+                path,
+                timeout_s=timeout_s,
+                limit_bytes=MAX_PROBE_BYTES,
+                matches_request=match_probe_answer,
             )
         except (NotSentError, ExchangeLostError):
             return None
@@ -297,6 +304,12 @@
     return AnswerMatch.UNNAMED if history.exchange_count == 1 else AnswerMatch.OTHER
 
 
+def match_probe_answer(headers: Headers, history: ConnectionHistory) -> AnswerMatch:
+    """Return whether an answer may be that to a probe, which has no id."""
+    is_named = any(name == REQUEST_ID_HEADER for name, _ in headers)
+    return AnswerMatch.OTHER if is_named else AnswerMatch.UNNAMED
+
+
 def _read_answer(id: str, answer: HttpAnswer, req: CallerRequest) -> Exchange:
     observation = BackendObservation(id, ObservationKind.ANSWERED)
     has_not_run_header = has_digest = False
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -103,6 +103,24 @@
         self.assertEqual((found.body, count), (b"two", 0))
 
 
+class ProbeAnswerTest(RelayTestCase):
+    async def test_copy_of_an_answer_to_a_request_is_no_answer_to_a_probe(self):
+        """Guards against answers that each count for the exchange before them."""
+        stale = reply("q1", b"", b"200 OK", b"Crocusward-Server-Load: 9,9,2,100")
+        fresh = b"HTTP/1.1 200 OK\r\nCrocusward-Server-Load: 1,0,2,100\r\n"
+        fresh += b"Content-Length: 0\r\n\r\n"
+        script = [reply("q1", b"one")], [stale, 0.02, fresh], [reply("q2", b"two")]
+        async with ScriptedServer(*script) as server:
+            async with self.relay(server) as relay:
+                client = await relay.client()
+                await client.ask()
+                load = relay.book.loads["b0"]
+                report = await relay.relay._client.probe(load, "/health", 1.0)
+                found = await client.ask("POST", "/order/a", body=b"x")
+            self.assertEqual(server.connections, 1)
+        self.assertEqual((report.running, found.body), (1, b"two"))
+
+
 class CutHeadTest(RelayTestCase):
     async def test_head_that_stops_in_the_middle_is_no_answer(self):
         """Guards against a success with an empty or short body."""
