Log the end of each send and what "not run" rests on

Attempts left no line if their caller left, the host stopped or another send answered first, the own refusals of a caller's connection (400, 408, 413, 431, 503) and requests dropped behind its last answer left none at all, and no refusal said why its request has not run.

- Each send has a number within its request: `send`; the last line of the request has their count, `sends`.
`request_answered` has `evidence`, `conn_exchange` and `skipped_answers`.
- `attempt_abandoned` is the end of a send that nobody awaited: cancelled, ended too late or at the same time as the one that answered, or an unexpected error.
A cancelled one counts as written from the call before the first byte on.
- `request_not_started` is a request that was refused, or dropped with its connection (status 0), before its start.
- Refusals have `basis`: not_started, not_written or own_refusal.
- `skipped_answers` of `attempt_failed` replaces `skipped`, which EventSampler overwrites with its count of left-out lines.

The simulated clients of entry_soak now name the evidence, too.

--- a/src/crocusward/devtools/entry_soak/_servers.py
+++ b/src/crocusward/devtools/entry_soak/_servers.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from ...neighbours import BackendObservation, ObservationKind
-from ...relay import CallerAnswer, Exchange, ExchangeEnd
+from ...relay import CallerAnswer, Evidence, Exchange, ExchangeEnd
 
 STABILITY_S = 3.0  # from the first answer that names a limit until it binds
 TOLD_S = 0.5  # from an answer to a host until its requests count
@@ -161,9 +161,20 @@
             return Exchange(ExchangeEnd.UNKNOWN, observation, reason="not in time")
         self._read_limit(server, observation, asked_s)
         if end is ExchangeEnd.NOT_RUN:
-            return Exchange(end, observation, reason="refused with 503")
+            return Exchange(
+                end,
+                observation,
+                reason="refused with 503",
+                evidence=Evidence.OWN_REFUSAL,
+            )
         observation.kind = ObservationKind.ANSWERED
-        return Exchange(end, observation, CallerAnswer(200), "status 200")
+        return Exchange(
+            end,
+            observation,
+            CallerAnswer(200),
+            "status 200",
+            evidence=Evidence.OWN_ANSWER,
+        )
 
     async def _run(self, server, observation):
         fleet = self._fleet
--- a/src/crocusward/entryd/_control.py
+++ b/src/crocusward/entryd/_control.py
@@ -36,6 +36,9 @@
     def release_body_memory(self, size: int) -> None:
         """Ignore the end of a body: no request here has one."""
 
+    def log_not_started(self, id: bytes, status: int, reason: str) -> None:
+        """Ignore it: requests here have no id and no effect that needs one send."""
+
     async def answer(self, req: CallerRequest) -> CallerAnswer:
         """Answer a request by its path."""
         path, _, query = req.target.partition("?")
--- a/src/crocusward/relay/__init__.py
+++ b/src/crocusward/relay/__init__.py
@@ -2,6 +2,7 @@
 
 from ._caller import CallerConnection
 from ._crash_watch import CrashWatch, show_digest
+from ._evidence import Evidence
 from ._exchange import BackendClient, Exchange, ExchangeEnd
 from ._listener import Listener
 from ._messages import CallerAnswer, CallerRequest, make_refusal
@@ -22,6 +23,7 @@
     "CallerConnection",
     "CallerRequest",
     "CrashWatch",
+    "Evidence",
     "Exchange",
     "ExchangeEnd",
     "ReservedSlot",
--- a/src/crocusward/relay/_caller.py
+++ b/src/crocusward/relay/_caller.py
@@ -9,6 +9,7 @@
 
 from ..desired import CallerLimits
 from ..lingering import LingerEnd, LingeringClose
+from ..platform import REQUEST_ID_HEADER
 from ..upstream import AnswerMemoryBudget, PacedReads, ReadPacer
 from ._messages import CallerAnswer, CallerRequest, Headers, make_refusal
 from ._pending import PendingRequest, find_header, parse_head
@@ -33,6 +34,9 @@
     limits: CallerLimits
     answer_memory: AnswerMemoryBudget | None
 
+    def log_not_started(self, id: bytes, status: int, reason: str) -> None:
+        """Log a request that was refused (status 0: dropped) before its start."""
+
     async def answer(self, req: CallerRequest) -> CallerAnswer:
         """Answer a request; cancelled when the caller disconnects."""
 
@@ -278,6 +282,8 @@
             self._release_body(item)
             if item.task is not None:
                 item.task.cancel()
+            elif item.answer is None:
+                self._handler.log_not_started(item.req.id, 0, "the connection ended")
         self._pending.clear()
 
     # Callbacks of the parser.
@@ -313,6 +319,7 @@
         req = parse_head(method, self._target, self._headers, self._now())
         if req is None:
             raise ValueError("the head is malformed")
+        self._headers = []
         item = PendingRequest(req, self._parser.should_keep_alive())
         self._current = item
         self._pending.append(item)
@@ -443,6 +450,7 @@
         self._is_rejected = True
         self._current = None
         self._release_body(item)
+        self._log_rejection(item.req.id, answer)
         item.answer = answer
         self._write_answers()
 
@@ -455,8 +463,10 @@
         if self._current is not None:
             self._reject_current(answer)
             return
+        id = find_header(self._headers, REQUEST_ID_HEADER) or b""
+        self._log_rejection(id, answer)
         req = CallerRequest(
-            "GET", "/", "", [], id=b"", received_s=self._now(), time_left_s=None
+            "GET", "/", "", [], id=id, received_s=self._now(), time_left_s=None
         )
         item = PendingRequest(req, False)
         item.answer = answer
@@ -464,3 +474,7 @@
         if self._transport is not None:
             self._transport.pause_reading()
         self._write_answers()
+
+    def _log_rejection(self, id: bytes, answer: CallerAnswer) -> None:
+        reason = answer.body.decode("ascii")
+        self._handler.log_not_started(id, answer.status, reason)
--- a/src/crocusward/relay/_exchange.py
+++ b/src/crocusward/relay/_exchange.py
@@ -85,6 +85,8 @@
         evidence: What the end rests on.
         exchange_number: Number of the exchange on its connection, 0 if not written.
         skipped_answers: Number of answers to other requests that were skipped.
+        send_number: Number of the send within its request, from 1.
+        is_logged: Whether the end was logged.
     """
 
     __slots__ = (
@@ -96,6 +98,8 @@
         "evidence",
         "exchange_number",
         "skipped_answers",
+        "send_number",
+        "is_logged",
     )
 
     def __init__(
@@ -115,6 +119,8 @@
         self.evidence = evidence
         self.exchange_number = 0
         self.skipped_answers = 0
+        self.send_number = 0
+        self.is_logged = False
 
     @property
     def has_usable_answer(self) -> bool:
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -28,7 +28,7 @@
 from ._messages import CallerAnswer, CallerRequest, make_refusal
 from ._notice_tracker import NoticeTracker
 from ._rate_limits import RateLimitTracker
-from ._requests import Call, RequestLog
+from ._requests import Attempt, Call, RequestLog
 from ._reserved_slot import NeighbourNotifier
 from ._slot_finder import MIN_ATTEMPT_TIME_S, SlotFinder
 from ._start import StartGate
@@ -163,6 +163,10 @@
         route = state.find_route(req.host, req.path) if state else None
         return route is not None and route.idempotent
 
+    def log_not_started(self, id: bytes, status: int, reason: str) -> None:
+        """Log a request that ended before its start."""
+        self._log.log_not_started(id, status, reason)
+
     async def answer(self, req: CallerRequest) -> CallerAnswer:
         """Answer one request of a caller."""
         began_s = self._timer.now()
@@ -248,13 +252,13 @@
 
     async def _serve(self, call: Call) -> CallerAnswer:
         self._crash_watch.check_allowed(call.digest, call.selection_req.id)
-        running: dict[asyncio.Task[Exchange], Selection] = {}
+        running: dict[asyncio.Task[Exchange], Attempt] = {}
         try:
             while True:
                 if not running:
                     self._check_may_send(call)
                     selection = await self._select_backend(call)
-                    running[self._start_attempt(call, selection)] = selection
+                    self._start_attempt(call, selection, running)
                 done = await self._wait_for_end(call, running)
                 if call.crash_check is not None:
                     await self._wait_for_crash_check(call)
@@ -266,6 +270,10 @@
                 if not done and self._now() >= call.selection_req.deadline_s:
                     return self._fail_at_deadline(call)
         finally:
+            call.is_over = True
+            for task, attempt in running.items():
+                if task.done():
+                    self._log.log_abandoned_attempt(call, attempt, task)
             self._losing_attempts.cancel_later(running)
 
     def _check_may_send(self, call: Call) -> None:
@@ -288,7 +296,7 @@
             call.digest = self._crash_watch.find(call.req)
 
     async def _wait_for_end(
-        self, call: Call, running: dict[asyncio.Task[Exchange], Selection]
+        self, call: Call, running: dict[asyncio.Task[Exchange], Attempt]
     ) -> "set[asyncio.Task[Exchange]]":
         """Wait until an attempt ends; send a hedged request if the first is late."""
         now_s = self._now()
@@ -312,13 +320,13 @@
                 break
             selection = await self._select_hedge(call, running)
             if selection is not None:
-                running[self._start_attempt(call, selection)] = selection
+                self._start_attempt(call, selection, running)
                 break
             hedge_delay_s = hedging.RECHECK_S
         return done
 
     def _hedge_delay_s(
-        self, call: Call, running: dict[asyncio.Task[Exchange], Selection]
+        self, call: Call, running: dict[asyncio.Task[Exchange], Attempt]
     ) -> float | None:
         route = call.selection_req.route
         if (
@@ -328,11 +336,12 @@
             or call.attempts >= route.max_attempts
         ):
             return None
-        (selection,) = running.values()
-        return hedging.delay_s(call.selection_req, selection.expected_s, self._now())
+        (attempt,) = running.values()
+        expected_s = attempt.selection.expected_s
+        return hedging.delay_s(call.selection_req, expected_s, self._now())
 
     async def _select_hedge(
-        self, call: Call, running: dict[asyncio.Task[Exchange], Selection]
+        self, call: Call, running: dict[asyncio.Task[Exchange], Attempt]
     ) -> Selection | None:
         now_s = self._now()
         service = call.selection_req.service
@@ -375,8 +384,11 @@
         self._slot_finder.dispatch_queued(service)
 
     def _start_attempt(
-        self, call: Call, selection: Selection
-    ) -> "asyncio.Task[Exchange]":
+        self,
+        call: Call,
+        selection: Selection,
+        running: dict[asyncio.Task[Exchange], Attempt],
+    ) -> None:
         load = selection.load
         assert load is not None
         now_s = self._now()
@@ -390,22 +402,22 @@
         )
         call.tried_ids.add(load.entry.id)
         call.attempts += 1
+        call.sends += 1
+        attempt = Attempt(call.sends, selection)
         self._notifier.notify_change(load, None)
-        self._log.log_placed(call, selection)
+        self._log.log_placed(call, attempt)
         permit_end_s = selection.permit_end_s
         if permit_end_s is None:
             permit_end_s = self._rate_limits.now() + PERMIT_LIFETIME_S
         task = asyncio.get_running_loop().create_task(
-            self._run_exchange(call, load, permit_end_s)
+            self._run_exchange(call, attempt, load, permit_end_s)
         )
         # Not in the coroutine, which never runs if its task is cancelled at once.
-        task.add_done_callback(
-            lambda done: self._on_exchange_end(call, selection, done)
-        )
-        return task
+        task.add_done_callback(lambda done: self._on_exchange_end(call, attempt, done))
+        running[task] = attempt
 
     async def _run_exchange(
-        self, call: Call, load: BackendLoad, permit_end_s: float
+        self, call: Call, attempt: Attempt, load: BackendLoad, permit_end_s: float
     ) -> Exchange:
         route = call.selection_req.route
         left_s = call.selection_req.deadline_s - self._now()
@@ -433,14 +445,18 @@
                 not route.regions or load.region in route.regions,
                 "a request leaves its home regions",
             )
+            attempt.is_written = True
 
-        return await self._client.send(
+        result = await self._client.send(
             load, call.req, left_s, before_write=check_before_write
         )
+        result.send_number = attempt.number
+        return result
 
     def _on_exchange_end(
-        self, call: Call, selection: Selection, task: "asyncio.Task[Exchange]"
+        self, call: Call, attempt: Attempt, task: "asyncio.Task[Exchange]"
     ) -> None:
+        selection = attempt.selection
         load = selection.load
         begun_s = selection.begun_s
         assert load is not None and begun_s is not None
@@ -449,6 +465,9 @@
         if selection.release is not None:
             selection.release()
         load.idle_connections = self._client.idle_connections(load)
+        self._log.count_attempt(attempt, task)
+        if call.is_over or task.cancelled() or task.exception() is not None:
+            self._log.log_abandoned_attempt(call, attempt, task)
         observation: BackendObservation | None = None
         if not task.cancelled() and task.exception() is None:
             result = task.result()
@@ -513,10 +532,11 @@
         route = call.selection_req.route
         if result.end is ExchangeEnd.NOT_RUN:
             call.attempts -= 1
+            call.note_not_run(result.evidence)
             self._log.log_failed_attempt(call, result)
             if result.reason == "invalid_request":
                 return self._log.refuse_early(
-                    call.req, route.name, "bad_header", 400, None
+                    call.req, route.name, "bad_header", 400, None, call.not_run_basis
                 )
             if has_other_attempts:
                 return None
@@ -530,7 +550,7 @@
             result.has_usable_answer or not route.idempotent
         ):
             assert result.answer is not None
-            self._log.finish(call, "answered", result.answer.status, result.observation)
+            self._log.finish(call, "answered", result.answer.status, result)
             return result.answer
         # The request may have run.
         call.may_have_run = True
--- a/src/crocusward/relay/_requests.py
+++ b/src/crocusward/relay/_requests.py
@@ -8,9 +8,30 @@
 from ..metrics import LatencyRecorder
 from ..neighbours import BackendObservation
 from ..placing import BackendLoad, Selection, SelectionRequest
+from ._evidence import REFUSAL_STATUSES, Evidence
 from ._exchange import Exchange
 from ._messages import CallerAnswer, CallerRequest, make_refusal
 
+# What "not run" rests on if the request was sent to no server.
+NOT_STARTED = "not_started"
+
+
+class Attempt:
+    """One send of a request to a server.
+
+    Attributes:
+        number: Number of the send within its request, from 1.
+        selection: The selected server.
+        is_written: Whether bytes of the request may have been written.
+    """
+
+    __slots__ = ("number", "selection", "is_written")
+
+    def __init__(self, number: int, selection: Selection) -> None:
+        self.number = number
+        self.selection = selection
+        self.is_written = False
+
 
 class Call:
     """State of one active request.
@@ -20,6 +41,9 @@
         selection_req: Its requirements on the backend server.
         tried_ids: Ids of the servers that were tried.
         attempts: Number of attempts, without those that certainly have not run.
+        sends: Number of attempts, with those that have not run.
+        not_run_basis: What "not run" rests on if no attempt may have run.
+        is_over: Whether no further end of an attempt is awaited.
         may_have_run: Whether an attempt may have run without an answer to pass on.
         last_failure: Latest server error that was received, or None.
         began_s: When processing began, in monotonic seconds.
@@ -33,6 +57,9 @@
         "selection_req",
         "tried_ids",
         "attempts",
+        "sends",
+        "not_run_basis",
+        "is_over",
         "may_have_run",
         "last_failure",
         "began_s",
@@ -48,6 +75,9 @@
         self.selection_req = selection_req
         self.tried_ids: set[str] = set()
         self.attempts = 0
+        self.sends = 0
+        self.not_run_basis = NOT_STARTED
+        self.is_over = False
         self.may_have_run = False
         self.last_failure: CallerAnswer | None = None
         self.began_s = began_s
@@ -55,6 +85,12 @@
         self.digest: bytes | None = None
         self.crash_check: asyncio.Task[None] | None = None
 
+    def note_not_run(self, evidence: Evidence) -> None:
+        """Record what it rests on that an attempt has not run."""
+        # A refusal is the weaker basis: it depends on what the server says.
+        if self.not_run_basis != Evidence.OWN_REFUSAL.value:
+            self.not_run_basis = evidence.value
+
 
 class RequestLog:
     """Logs each decision on a request, and records outcomes and latencies by route.
@@ -67,21 +103,31 @@
     Attributes:
         latencies: Latencies of answered requests by route.
         outcomes: Number of requests by route and outcome.
+        attempt_ends: Number of attempts by end and evidence.
     """
 
-    __slots__ = ("latencies", "outcomes", "_now", "_directory", "_sampler")
+    __slots__ = (
+        "latencies",
+        "outcomes",
+        "attempt_ends",
+        "_now",
+        "_directory",
+        "_sampler",
+    )
 
     def __init__(
         self, now: Callable[[], float], directory: Directory, sampler: EventSampler
     ) -> None:
         self.latencies: dict[str, LatencyRecorder] = {}
         self.outcomes: dict[tuple[str, str], int] = {}
+        self.attempt_ends: dict[tuple[str, str], int] = {}
         self._now = now
         self._directory = directory
         self._sampler = sampler
 
-    def log_placed(self, call: Call, selection: Selection) -> None:
+    def log_placed(self, call: Call, attempt: Attempt) -> None:
         """Log that a request is sent to a server."""
+        selection = attempt.selection
         load = selection.load
         assert load is not None
         now_s = self._now()
@@ -96,6 +142,7 @@
             pace=selection.slowdown,
             pace_age_s=selection.slowdown_age_s,
             attempt=call.attempts,
+            send=attempt.number,
             at_limit=selection.without_permit_count,
             cold=selection.cold_count,
             cold_left_s=max(0.0, load.cold_until_s - now_s),
@@ -130,6 +177,7 @@
         outcome: str,
         status: int,
         retry_after_s: float | None,
+        basis: str = NOT_STARTED,
     ) -> CallerAnswer:
         """Log and count a refusal that needs no call state; return the answer."""
         self._count(route, outcome)
@@ -139,21 +187,73 @@
             route=route,
             reason=outcome,
             status=status,
+            basis=basis,
         )
         return make_refusal(status, outcome, retry_after_s=retry_after_s)
 
+    def log_not_started(self, id: bytes, status: int, reason: str) -> None:
+        """Log a request whose connection was refused or ended before its start.
+
+        Args:
+            id: Id of the request, b"" if unknown.
+            status: Status of the refusal, 0 if none was sent.
+            reason: Why it was not started.
+        """
+        self._sampler.log(
+            "request_not_started",
+            id=id.decode("latin-1"),
+            reason=reason,
+            status=status,
+            basis=NOT_STARTED,
+        )
+
+    def count_attempt(self, attempt: Attempt, task: "asyncio.Task[Exchange]") -> None:
+        """Count the end of an attempt."""
+        end, evidence, _ = _describe_end(attempt, task)
+        key = (end, evidence.value)
+        self.attempt_ends[key] = self.attempt_ends.get(key, 0) + 1
+
+    def log_abandoned_attempt(
+        self, call: Call, attempt: Attempt, task: "asyncio.Task[Exchange]"
+    ) -> None:
+        """Log, once, an attempt whose end was not awaited or has no result."""
+        end, evidence, result = _describe_end(attempt, task)
+        if result is not None:
+            self._log_result("attempt_abandoned", call, result)
+            return
+        load = attempt.selection.load
+        assert load is not None
+        self._sampler.log(
+            "attempt_abandoned",
+            id=call.selection_req.id,
+            backend=load.entry.id,
+            end=end,
+            reason="" if task.cancelled() else repr(task.exception()),
+            evidence=evidence.value,
+            attempt=call.attempts,
+            send=attempt.number,
+            age_s=self._now() - call.began_s,
+        )
+
     def log_failed_attempt(self, call: Call, result: Exchange) -> None:
         """Log an attempt that ended without an answer to pass on."""
+        self._log_result("attempt_failed", call, result)
+
+    def _log_result(self, event: str, call: Call, result: Exchange) -> None:
+        if result.is_logged:
+            return
+        result.is_logged = True
         self._sampler.log(
-            "attempt_failed",
+            event,
             id=call.selection_req.id,
             backend=result.observation.backend,
             end=result.end.value,
             reason=result.reason,
             evidence=result.evidence.value,
             conn_exchange=result.exchange_number,
-            skipped=result.skipped_answers,
+            skipped_answers=result.skipped_answers,
             attempt=call.attempts,
+            send=result.send_number,
             age_s=self._now() - call.began_s,
         )
 
@@ -162,7 +262,7 @@
         call: Call,
         outcome: str,
         status: int,
-        observation: BackendObservation | None = None,
+        result: Exchange | None = None,
         *,
         reason: str = "",
         retry_after_s: float | None = None,
@@ -184,13 +284,22 @@
             "waited_s": call.waited_s,
             "objective_s": route.objective_s,
             "attempts": call.attempts,
+            "sends": call.sends,
             "version": self._directory.state.version if self._directory.state else 0,
         }
-        if observation is not None:
+        if result is not None:
+            result.is_logged = True
+            observation = result.observation
             fields["backend"] = observation.backend
             fields["running"] = observation.running
             fields["waiting"] = observation.waiting
             fields["pace"] = observation.slowdown
+            fields["send"] = result.send_number
+            fields["evidence"] = result.evidence.value
+            fields["conn_exchange"] = result.exchange_number
+            fields["skipped_answers"] = result.skipped_answers
+        if status in REFUSAL_STATUSES and not is_answer:
+            fields["basis"] = call.not_run_basis
         if reason:
             fields["reason"] = reason
         if retry_after_s is not None:
@@ -201,3 +310,14 @@
     def _count(self, route: str, outcome: str) -> None:
         key = (route, outcome)
         self.outcomes[key] = self.outcomes.get(key, 0) + 1
+
+
+def _describe_end(
+    attempt: Attempt, task: "asyncio.Task[Exchange]"
+) -> tuple[str, Evidence, Exchange | None]:
+    """Return the end of an attempt, its evidence, and the result if there is one."""
+    if not task.cancelled() and task.exception() is None:
+        result = task.result()
+        return result.end.value, result.evidence, result
+    evidence = Evidence.NO_ANSWER if attempt.is_written else Evidence.NOT_WRITTEN
+    return "cancelled" if task.cancelled() else "error", evidence, None
