Count the ends of attempts and the skipped answers of the entry daemon

`crocusward_entry_attempts_total` by end and evidence and `crocusward_entry_answers_skipped_total` by pool (store, backends). test_attempts_and_skipped_answers_are_exposed failed before.

--- a/src/crocusward/entryd/_exposition.py
+++ b/src/crocusward/entryd/_exposition.py
@@ -95,6 +95,10 @@
         for to, pool in pools.items():
             count = getattr(pool, metric)
             lines.append(f'{PREFIX}{metric}_total{{to="{to}"}} {count}')
+    lines.append(f"# TYPE {PREFIX}answers_skipped_total counter")
+    for to, pool in pools.items():
+        count = pool.skipped_answers
+        lines.append(f'{PREFIX}answers_skipped_total{{to="{to}"}} {count}')
 
 
 def _add_requests(lines: list[str], process: "EntryProcess") -> None:
@@ -102,6 +106,10 @@
     for (route, outcome), count in process.request_log.outcomes.items():
         labels = f'route="{route}",outcome="{outcome}"'
         lines.append(f"{PREFIX}requests_total{{{labels}}} {count}")
+    lines.append(f"# TYPE {PREFIX}attempts_total counter")
+    for (end, evidence), count in process.request_log.attempt_ends.items():
+        labels = f'end="{end}",evidence="{evidence}"'
+        lines.append(f"{PREFIX}attempts_total{{{labels}}} {count}")
 
 
 def _add_latencies(lines: list[str], process: "EntryProcess") -> None:
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -5,6 +5,8 @@
 
 from hdrh.histogram import HdrHistogram
 
+from crocusward.devtools.entry_soak import WholeFleet
+from crocusward.entryd._exposition import format_metrics
 from crocusward.metrics import LatencyCells, LatencyRecorder, Metrics, merge_blocks
 
 
@@ -115,3 +117,25 @@
         (item,) = merge_blocks(self.metrics.ring.last(60))
         self.assertEqual((item.good, dict(item.codes)), (1, {"no_backend": 1}))
         self.assertEqual(item.latency.histogram().get_total_count(), 1)
+
+
+class EntryMetricsTest(unittest.TestCase):
+    def test_attempts_and_skipped_answers_are_exposed(self):
+        """Guards against sends, and answers of others, that no metric shows."""
+        fleet = WholeFleet(3, 1)
+        self.addCleanup(fleet.close)
+        fleet.add_servers(2)
+        fleet.network.advance(1.0)
+        name, host = next(iter(fleet.hosts.items()))
+        item = fleet.ask("/look/a", name)
+        fleet.network.advance(2.0)
+        self.assertEqual(item.status, 200)
+        host.store_pool.skipped_answers = 2
+        host.backend_pool.skipped_answers = 3
+        lines = format_metrics(host).decode().splitlines()
+        attempts = [line for line in lines if "_attempts_total{" in line]
+        labels = 'end="answered",evidence="own_answer"'
+        self.assertEqual(attempts, [f"crocusward_entry_attempts_total{{{labels}}} 1"])
+        for to, count in (("store", 2), ("backends", 3)):
+            name = f'crocusward_entry_answers_skipped_total{{to="{to}"}}'
+            self.assertIn(f"{name} {count}", lines)
