Summarize the sends of a request in crocusward explain

After the lines come each send with its end, evidence and verdict (ran, not run, may have run), what each host answered and on which basis, lines that the logs miss, and a verdict for the request. A refusal that promises "not run" beside a send that may have run is marked as a contradiction.

--- a/src/crocusward/cli/_explain.py
+++ b/src/crocusward/cli/_explain.py
@@ -9,6 +9,7 @@
 
 from ..errors import CrocusError
 from ..model import Record
+from ._request_summary import summarize
 from ._tool import Tool
 
 CONTEXT_TIME = timedelta(seconds=10)  # before the first line of the request
@@ -169,7 +170,7 @@
 
     @app.command(name="explain")
     def run(id: str, *files: Path) -> None:
-        """Print what logs say of one request, in order of time.
+        """Print what logs say of one request, and a summary of its sends.
 
         Example: crocusward explain 9c41d07be2a35f68 host-1.log host-2.log
 
@@ -188,10 +189,6 @@
         if not found:
             raise CrocusError(f"no line names request {id!r}", code="unknown_request")
         width = max(len(item.source) for item in found)
-        for item in found:
-            tool.console.print(
-                f"{item.time} {item.source:{width}} {item.text}",
-                highlight=False,
-                soft_wrap=True,
-                markup=False,
-            )
+        shown = [f"{item.time} {item.source:{width}} {item.text}" for item in found]
+        for line in [*shown, "", f"summary id={id}", *summarize(id, logs)]:
+            tool.console.print(line, highlight=False, soft_wrap=True, markup=False)
