Do not reuse a connection for an id that it refused

A caller may send a refused request again with the same id. On the kept connection of the refusal, a second copy of that refusal names the id and carries the mark, so it counted as the refusal of the new send, which was running. The host then answered 503 or sent the request to another server.

A connection now remembers the ids (hashes of them) that got an error answer, and is left out when one of them is sent again. It closes after 64 such ids, so that it forgets none. That is one new connection for each 64 error answers. At the connection limit, one connection that is left out closes, to make room.

Before: test_copy_of_a_refusal_does_not_refuse_the_same_id_again got 503, 503 for a request that ran (python -m unittest tests.test_caller_side_runs); now 503, 200 and one run. The other three tests are of the new argument of the pool.

--- a/src/crocusward/relay/_exchange.py
+++ b/src/crocusward/relay/_exchange.py
@@ -187,6 +187,7 @@
                 allow_close_delimited=True,
                 max_idle_s=self.idle_limit_s.get(entry.service),
                 host=req.host.encode("ascii"),
+                request_id=req.id,
             )
         except NotSentError as exc:
             return _make_not_sent(entry.id, exc)
--- a/src/crocusward/upstream/_connection.py
+++ b/src/crocusward/upstream/_connection.py
@@ -110,6 +110,7 @@
         idle_before_s: Idle time before the last exchange, in seconds.
         exchange_count: Number of exchanges started.
         has_named_answer: Whether an answer has named its request.
+        failed_id_hashes: Hashes of the ids of requests that got an error answer.
         skipped_answers: Number of answers skipped as belonging to another request.
         on_closed: Called once when the connection is closed.
     """
@@ -121,6 +122,7 @@
         "idle_before_s",
         "exchange_count",
         "has_named_answer",
+        "failed_id_hashes",
         "skipped_answers",
         "on_closed",
         "_timer",
@@ -170,6 +172,7 @@
         self.idle_before_s = 0.0
         self.exchange_count = 0
         self.has_named_answer = False
+        self.failed_id_hashes: set[int] = set()
         self.skipped_answers = 0
         self.on_closed: Callable[[HttpConnection], object] | None = None
         self._timer = timer
--- a/src/crocusward/upstream/_pool.py
+++ b/src/crocusward/upstream/_pool.py
@@ -21,6 +21,9 @@
 DEFAULT_MAX_CONNECTIONS = 16
 DEFAULT_IDLE_TIMEOUT_S = 30.0
 READ_BUFFER_BYTES = 65_536
+MIN_ERROR_STATUS = 400
+# Of one connection, which is then closed instead of forgetting one of them.
+MAX_FAILED_IDS = 64
 KEEP_ALIVE_SHARE = 0.8  # of the Keep-Alive timeout, after which the server closes
 DEFAULT_CONNECT_TIMEOUT_S = 1.0  # the slowest path takes 12 ms one way
 
@@ -118,6 +121,7 @@
         allow_close_delimited: bool = False,
         max_idle_s: float | None = None,
         host: bytes | None = None,
+        request_id: bytes = b"",
     ) -> HttpAnswer:
         """Send one request and return its complete answer.
 
@@ -140,6 +144,9 @@
             allow_close_delimited: See ``HttpConnection.exchange``.
             max_idle_s: Maximum idle time of a reused connection, in seconds.
             host: Value of the Host header; defaults to address and port.
+            request_id: Id of the request, or b"". A connection on which this id got an
+                error answer is not used for it again, since a second copy of that
+                answer would be taken for the answer to this request.
 
         Raises:
             NotSentError: No byte was written.
@@ -147,7 +154,7 @@
         """
         endpoint = self._get_endpoint(address, port)
         data = encode_request(method, path, host or endpoint.host, headers, body)
-        conn = self._take_idle(endpoint, max_idle_s)
+        conn = self._take_idle(endpoint, max_idle_s, request_id)
         if conn is None:
             started_s = self._timer.now()
             conn = await self._connect(endpoint, address, port, timeout_s)
@@ -178,6 +185,8 @@
                 if exc.reused and exc.code == SILENT:
                     self._distrust_idle(endpoint, sent_s)
             raise
+        if request_id and answer.status >= MIN_ERROR_STATUS:
+            conn.failed_id_hashes.add(hash(request_id))
         if answer.match is AnswerMatch.UNNAMED and not keep_after_unnamed:
             conn.abort()
         self._release(endpoint, conn, answer)
@@ -237,15 +246,33 @@
         return self.connections if endpoint.limit is None else endpoint.limit
 
     def _take_idle(
-        self, endpoint: _Endpoint, max_idle_s: float | None
+        self, endpoint: _Endpoint, max_idle_s: float | None, request_id: bytes
     ) -> HttpConnection | None:
+        skipped: list[HttpConnection] = []
+        conn = self._pop_idle(endpoint, max_idle_s, request_id, skipped)
+        endpoint.idle += reversed(skipped)
+        if conn is None and skipped and endpoint.open_count >= self._limit(endpoint):
+            skipped[-1].abort()  # makes room for a new connection
+        return conn
+
+    def _pop_idle(
+        self,
+        endpoint: _Endpoint,
+        max_idle_s: float | None,
+        request_id: bytes,
+        skipped: list[HttpConnection],
+    ) -> HttpConnection | None:
+        """Remove and return a usable connection; move others into ``skipped``."""
         now_s = self._timer.now()
+        id_hash = hash(request_id)
         while endpoint.idle:
             conn = endpoint.idle.pop()
             idle_s = now_s - conn.idle_since_s
             limit_s = conn.idle_limit_s if max_idle_s is None else max_idle_s
             if idle_s > min(limit_s, conn.idle_limit_s):
                 conn.abort()
+            elif id_hash in conn.failed_id_hashes:
+                skipped.append(conn)
             elif conn.is_usable():
                 conn.idle_before_s = idle_s
                 return conn
@@ -261,6 +288,7 @@
             or not self._reuse
             or endpoint.open_count > self._limit(endpoint)
             or not conn.can_be_reused()
+            or len(conn.failed_id_hashes) >= MAX_FAILED_IDS
         ):
             conn.abort()
             return
--- a/tests/test_caller_side_runs.py
+++ b/tests/test_caller_side_runs.py
@@ -13,12 +13,13 @@
 from crocusward.devtools.fault_soak._notices import Notices
 from crocusward.devtools.fault_soak._targets import Target
 from crocusward.errors import NotSentError
+from crocusward.upstream._pool import MAX_FAILED_IDS
 
 from .daemon_support import WholeDaemon
 from .entry_support import EntryClient, reply
 from .raw_client import RawClient
 from .scripted_server import ScriptedServer
-from .test_relay import RelayTestCase
+from .test_relay import SHED, RelayTestCase
 
 GET = ("GET", "/look/x")
 POST = ("POST", "/order/x")
@@ -199,6 +200,49 @@
 class RepeatedIdTest(RelayTestCase):
     """Guards against taking an answer to one request for that to its namesake."""
 
+    async def test_copy_of_a_refusal_does_not_refuse_the_same_id_again(self):
+        async with CountingServer() as server:
+            async with self.relay(server, reserve=0.0) as relay:
+                server.refusals.append(SHED)
+                client = await relay.client()
+                statuses = [(await client.ask(*POST, id="q1")).status for _ in "12"]
+        self.assertEqual((statuses, server.runs), ([503, 200], {"q1": 1}))
+
+    async def ask_pool(self, relay, server, *ids):
+        for id in ids:
+            await relay.pool.request(
+                "127.0.0.1",
+                server.port,
+                *POST,
+                timeout_s=1.0,
+                limit_bytes=1000,
+                request_id=id,
+            )
+
+    async def test_connection_that_refused_an_id_serves_others(self):
+        async with ScriptedServer([SHED]) as server:
+            async with self.relay(server) as relay:
+                await self.ask_pool(relay, server, b"a", b"b", b"a", b"c")
+                self.assertEqual(server.connections, 2)
+
+    async def test_connections_that_refused_an_id_do_not_use_up_the_limit(self):
+        async with ScriptedServer([SHED]) as server:
+            async with self.relay(server) as relay:
+                relay.pool.limit_connections("127.0.0.1", server.port, 2)
+                await self.ask_pool(relay, server, *[b"a"] * 5)
+                self.assertEqual(server.connections, 5)
+                self.assertEqual(relay.pool.count_open("127.0.0.1", server.port), 2)
+
+    async def test_connection_forgets_no_id_that_it_refused(self):
+        ids = [b"%d" % number for number in range(MAX_FAILED_IDS + 1)]
+        async with ScriptedServer([SHED]) as server:
+            async with self.relay(server) as relay:
+                await self.ask_pool(relay, server, *ids[:-1])
+                self.assertEqual(server.connections, 1)
+                self.assertEqual(relay.pool.count_idle("127.0.0.1", server.port), 0)
+                await self.ask_pool(relay, server, ids[0], ids[-1])
+                self.assertEqual(server.connections, 2)
+
     async def test_same_id_on_two_connections_is_two_requests(self):
         async with CountingServer() as server:
             async with self.relay(server) as relay:
