Repeat a request only if its route still allows it

A request keeps the route that it was accepted with. If the operator declared the route unsafe while the request ran or waited, the host still hedged and repeated it by the old view, for up to the time limit of the route. Hedges and repeats now also need the route that is in force, checked when they are decided on and again just before the first byte. A request without a route by then is not repeated either.

Before (python -m unittest tests.test_caller_side_runs): test_request_that_became_unsafe_is_not_hedged, _is_not_repeated and test_repeat_that_waits_for_a_server_is_withdrawn saw 2 requests at the servers; now 1.

--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -268,6 +268,12 @@
         finally:
             self._losing_attempts.cancel_later(running)
 
+    def _can_repeat(self, call: Call) -> bool:
+        """Return whether a request may run twice, by its route then and now."""
+        return call.selection_req.route.idempotent and self.can_run_concurrently(
+            call.req
+        )
+
     def _check_may_send(self, call: Call) -> None:
         """Refuse to send a request again that may have run."""
         if not self._invariants.check(
@@ -277,6 +283,8 @@
             "a request that may have run would be sent again",
         ):
             raise Refused("it may have run", 0.0, code="may_have_run")
+        if call.may_have_run and not self._can_repeat(call):
+            raise Refused("the route no longer allows repeats", 0.0, code=WITHDRAWN)
 
     async def _wait_for_crash_check(self, call: Call) -> None:
         """Wait for a while for what a repeat depends on; the check goes on."""
@@ -350,6 +358,8 @@
         if selection is None or any(task.done() for task in running):
             return None
         now_s = self._now()
+        if not self._can_repeat(call):
+            return None
         if not hedging.has_idle_capacity(selection, call.selection_req, now_s):
             return None
         if not self._retry_budget.try_spend(
@@ -414,6 +424,8 @@
             call.digest = call.digest or self._crash_watch.find(call.req)
             if self._crash_watch.registry.is_blocked(call.digest or b""):
                 raise NotSentError("servers crash under it", code=CRASHES_SERVERS)
+            if call.attempts > 1 and not self._can_repeat(call):
+                raise NotSentError("the route no longer allows repeats", code=WITHDRAWN)
             if not self._selector.is_allowed(load, route, self._now()):
                 raise NotSentError("the server is out of service", code=WITHDRAWN)
             if self._load_table.loads.get(load.entry.id) is not load:
@@ -539,7 +551,7 @@
         if has_other_attempts:
             return None
         if (
-            route.idempotent
+            self._can_repeat(call)
             and self._crash_watch.count(call.digest) <= MAX_CRASHES_TO_REPEAT
             and call.attempts < route.max_attempts
             and self._now() + MIN_ATTEMPT_TIME_S < call.selection_req.deadline_s
--- a/tests/test_caller_side_runs.py
+++ b/tests/test_caller_side_runs.py
@@ -16,10 +16,10 @@
 from crocusward.upstream._pool import MAX_FAILED_IDS
 
 from .daemon_support import WholeDaemon
-from .entry_support import EntryClient, reply
+from .entry_support import EntryClient, desired, reply, route
 from .raw_client import RawClient
 from .scripted_server import ScriptedServer
-from .test_relay import SHED, RelayTestCase
+from .test_relay import ORDER, SHED, RelayTestCase
 
 GET = ("GET", "/look/x")
 POST = ("POST", "/order/x")
@@ -197,6 +197,58 @@
         self.assert_closes(last)
 
 
+class ChangedRouteTest(PlayTestCase):
+    """Guards against a second run on the word of a route that has changed."""
+
+    def make_unsafe(self, relay, client=None):
+        relay.directory.set_state(
+            desired(route(idempotent=False, timeout_s=5.0), ORDER, version=2)
+        )
+
+    async def fail_first(self, servers, after_s):
+        state = desired(route(timeout_s=5.0, objective_s=0.2), ORDER)
+        async with servers[0], servers[1]:
+            async with self.relay(*servers, state=state) as relay:
+                client = await relay.client()
+                client.send(*GET)
+                await asyncio.sleep(0.05)
+                self.make_unsafe(relay)
+                found = await client.raw.read()
+                await asyncio.sleep(after_s)
+        return found.status, sum(len(server.requests) for server in servers)
+
+    async def test_request_that_became_unsafe_is_not_repeated(self):
+        script = [0.1, "close"]
+        servers = ScriptedServer(script), ScriptedServer(script)
+        self.assertEqual(await self.fail_first(servers, 0.0), (502, 1))
+
+    async def test_request_that_became_unsafe_is_not_hedged(self):
+        script = [0.8, reply("q1")]
+        servers = ScriptedServer(script), ScriptedServer(script)
+        self.assertEqual(await self.fail_first(servers, 0.0), (200, 1))
+
+    async def test_repeat_that_waits_for_a_server_is_withdrawn(self):
+        state = desired(route(timeout_s=5.0), ORDER)
+        script = [0.05, "close"]
+        async with ScriptedServer(script) as server, ScriptedServer(script) as other:
+            async with self.relay(server, other, state=state) as relay:
+                find, relays = relay.places.find, [relay]
+
+                async def find_late(req):
+                    selection = await find(req)
+                    if req.excluded:
+                        self.make_unsafe(relays[0])
+                    return selection
+
+                with mock.patch.object(
+                    type(relay.places), "find", side_effect=find_late
+                ):
+                    client = await relay.client()
+                    found = await client.ask(*GET)
+                count = len(server.requests) + len(other.requests)
+        self.assertEqual((found.status, count), (502, 1))
+
+
 class RepeatedIdTest(RelayTestCase):
     """Guards against taking an answer to one request for that to its namesake."""
 
