Refuse a request whose route became unsafe before its turn

Whether a pipelined request may run beside earlier ones is decided when it starts; its route is looked up again when it is answered, up to 0.5 s later while a daemon starts. If the route became unsafe in between, an unsafe request ran behind unanswered ones. It is now refused with 503 route_changed before anything is sent, and its caller sends it again.

test_request_that_became_unsafe_is_not_started_behind_others got 200, 200 before; now 200, 503 and one run (python -m unittest tests.test_caller_side_runs).

--- a/src/crocusward/relay/_caller.py
+++ b/src/crocusward/relay/_caller.py
@@ -365,6 +365,7 @@
             if item.task is None and item.answer is None:
                 if index and not self._handler.can_run_concurrently(item.req):
                     return
+                item.req.is_early = index > 0
                 self._start_request(item)
 
     def _start_request(self, item: PendingRequest) -> None:
--- a/src/crocusward/relay/_messages.py
+++ b/src/crocusward/relay/_messages.py
@@ -24,6 +24,8 @@
         id: Request id, or b"".
         received_s: When the head was complete, in monotonic seconds.
         time_left_s: Time limit of the caller from then on, in seconds, or None.
+        is_early: Whether it was started before earlier requests of its connection were
+            answered.
     """
 
     __slots__ = (
@@ -35,6 +37,7 @@
         "id",
         "received_s",
         "time_left_s",
+        "is_early",
     )
 
     def __init__(
@@ -56,6 +59,7 @@
         self.id = id
         self.received_s = received_s
         self.time_left_s = time_left_s
+        self.is_early = False
 
     @property
     def path(self) -> str:
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -34,6 +34,7 @@
 from ._start import StartGate
 
 STOPPING_RETRY_AFTER_S = 0.05  # other hosts accept the caller's next connection
+ROUTE_CHANGED_RETRY_AFTER_S = 0.05  # earlier requests may be answered by then
 STARTING_RETRY_AFTER_S = 0.5  # a desired state is normally loaded by then
 BODY_MEMORY_SHARE = 0.25  # share of the host's memory for request bodies
 BYTES_PER_MB = 1 << 20
@@ -177,6 +178,10 @@
             return self._log.refuse_early(req, "", "no_route", 404, None)
         if not req.id:
             return self._log.refuse_early(req, route.name, "no_id", 400, None)
+        if req.is_early and not route.idempotent:
+            return self._log.refuse_early(
+                req, route.name, "route_changed", 503, ROUTE_CHANGED_RETRY_AFTER_S
+            )
         limit_s = route.timeout_s
         if req.time_left_s is not None:
             limit_s = min(limit_s, req.time_left_s)
--- a/tests/test_caller_side_runs.py
+++ b/tests/test_caller_side_runs.py
@@ -248,6 +248,25 @@
                 count = len(server.requests) + len(other.requests)
         self.assertEqual((found.status, count), (502, 1))
 
+    async def test_request_that_became_unsafe_is_not_started_behind_others(self):
+        state = desired(route(timeout_s=5.0), ORDER)
+        async with CountingServer() as server:
+            async with self.relay(server, state=state) as relay:
+                conn_start = type(relay.relay).answer
+
+                async def answer_late(handler, req):
+                    if req.id == b"q2":
+                        self.make_unsafe(relay)
+                    return await conn_start(handler, req)
+
+                with mock.patch.object(type(relay.relay), "answer", answer_late):
+                    client = await relay.client()
+                    client.send(*GET)
+                    client.send(*GET)
+                    answers = [await client.raw.read() for _ in range(2)]
+        self.assertEqual([found.status for found in answers], [200, 503])
+        self.assertEqual(server.runs, {"q1": 1})
+
 
 class RepeatedIdTest(RelayTestCase):
     """Guards against taking an answer to one request for that to its namesake."""
