Answer the unsafe request of a caller that closes its side

The end of the caller's stream cancels its requests and closes the connection. A caller that has closed only its own side saw earlier answers and then the close, so it counted the unsafe request that ran as not read and was free to send it again. That request now gets 504 with Connection: close. It is still cancelled, as a half-closed connection cannot be told from a closed one. Requests that have not started get no answer, as before, and do not run.

test_half_closed_caller_gets_an_answer_to_a_running_request got only the earlier 404 before; now 404 and 504 (python -m unittest tests.test_caller_side_runs).

--- a/src/crocusward/relay/_caller.py
+++ b/src/crocusward/relay/_caller.py
@@ -260,6 +260,7 @@
 
     def eof_received(self) -> bool:
         """Treat the end of the stream as a disconnect of the caller."""
+        self._answer_cut_request("the caller closed its side")
         self._cancel_all()
         return False
 
@@ -393,6 +394,22 @@
         self._on_linger_end(self, LingerEnd.MEMORY)
         self.abort()
 
+    def _answer_cut_request(self, reason: str) -> None:
+        """Answer the running unsafe request, if any, before the connection ends.
+
+        A caller counts a request without an answer, behind one with an answer, as not
+        read and sends it again.
+        """
+        transport = self._transport
+        item = self._pending[0] if self._pending else None
+        if item is None or item.task is None or transport is None:
+            return
+        if transport.is_closing() or self._handler.can_run_concurrently(item.req):
+            return
+        answer = make_refusal(504, f"the request may have run: {reason}")
+        has_body = item.req.method != "HEAD"
+        transport.write(answer.encode(keep_alive=False, has_body=has_body))
+
     def _release_answers(self) -> None:
         """Release the memory of answers once the caller has all that are ready."""
         transport, memory = self._transport, self._handler.answer_memory
--- a/tests/test_caller_side_runs.py
+++ b/tests/test_caller_side_runs.py
@@ -196,6 +196,16 @@
         self.assertEqual((statuses, runs), ([503], {}))
         self.assert_closes(last)
 
+    async def test_half_closed_caller_gets_an_answer_to_a_running_request(self):
+        statuses, last, runs = await self.play(
+            ("GET", "/nowhere"),
+            POST,
+            POST,
+            then=lambda relay, client: client.raw.writer.write_eof(),
+        )
+        self.assertEqual((statuses, runs), ([404, 504], {"q2": 1}))
+        self.assert_closes(last)
+
 
 class ChangedRouteTest(PlayTestCase):
     """Guards against a second run on the word of a route that has changed."""
