Answer the unsafe request of a connection that is cut for memory

Above the memory limit for answers, the connection with the largest ones is cut. If its caller had taken all earlier answers, it saw them and then the close, and counted the unsafe request whose answer was just too large as not read, although it ran. That request now gets 504 with Connection: close, and the write side closes first, so that no reset discards the 504. If the caller has not taken the earlier answers, the connection is cut in the middle of one, as before.

--- a/src/crocusward/relay/_caller.py
+++ b/src/crocusward/relay/_caller.py
@@ -392,23 +392,34 @@
 
     def _abort_for_memory(self, reason: str) -> None:
         self._on_linger_end(self, LingerEnd.MEMORY)
-        self.abort()
+        if self._answer_cut_request(reason) and not self._unsent_size():
+            self._cancel_all()
+            self.close()
+        else:
+            self.abort()
 
-    def _answer_cut_request(self, reason: str) -> None:
+    def _answer_cut_request(self, reason: str) -> bool:
         """Answer the running unsafe request, if any, before the connection ends.
 
         A caller counts a request without an answer, behind one with an answer, as not
         read and sends it again.
+
+        Returns:
+            Whether an answer was written.
         """
         transport = self._transport
         item = self._pending[0] if self._pending else None
         if item is None or item.task is None or transport is None:
-            return
+            return False
         if transport.is_closing() or self._handler.can_run_concurrently(item.req):
-            return
+            return False
         answer = make_refusal(504, f"the request may have run: {reason}")
         has_body = item.req.method != "HEAD"
         transport.write(answer.encode(keep_alive=False, has_body=has_body))
+        return True
+
+    def _unsent_size(self) -> int:
+        return self._transport.get_write_buffer_size() if self._transport else 0
 
     def _release_answers(self) -> None:
         """Release the memory of answers once the caller has all that are ready."""
--- a/tests/test_caller_side_runs.py
+++ b/tests/test_caller_side_runs.py
@@ -13,6 +13,8 @@
 from crocusward.devtools.fault_soak._notices import Notices
 from crocusward.devtools.fault_soak._targets import Target
 from crocusward.errors import NotSentError
+from crocusward.relay._caller import MAX_PIPELINED_REQUESTS
+from crocusward.upstream import AnswerMemoryBudget
 from crocusward.upstream._pool import MAX_FAILED_IDS
 
 from .daemon_support import WholeDaemon
@@ -206,6 +208,16 @@
         self.assertEqual((statuses, runs), ([404, 504], {"q2": 1}))
         self.assert_closes(last)
 
+    async def test_lack_of_memory_for_its_answer_is_told_to_the_caller(self):
+        def limit(relay, client):
+            relay.relay.answer_memory = AnswerMemoryBudget(1)
+
+        statuses, last, runs = await self.play(
+            ("GET", "/nowhere"), *[POST] * (2 * MAX_PIPELINED_REQUESTS), then=limit
+        )
+        self.assertEqual((statuses, runs), ([404, 504], {"q2": 1}))
+        self.assert_closes(last)
+
 
 class ChangedRouteTest(PlayTestCase):
     """Guards against a second run on the word of a route that has changed."""
