--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -34,6 +34,7 @@
 from ._start import StartGate
 
 STOPPING_RETRY_AFTER_S = 0.05  # other hosts accept the caller's next connection
+ROUTE_CHANGED_RETRY_AFTER_S = 0.05  # earlier requests may be answered by then
 STARTING_RETRY_AFTER_S = 0.5  # a desired state is normally loaded by then
 BODY_MEMORY_SHARE = 0.25  # share of the host's memory for request bodies
 BYTES_PER_MB = 1 << 20
@@ -181,6 +182,10 @@
             return self._log.refuse_early(req, "", "no_route", 404, None)
         if not req.id:
             return self._log.refuse_early(req, route.name, "no_id", 400, None)
+        if req.is_early and not route.idempotent:
+            return self._log.refuse_early(
+                req, route.name, "route_changed", 503, ROUTE_CHANGED_RETRY_AFTER_S
+            )
         limit_s = route.timeout_s
         if req.time_left_s is not None:
             limit_s = min(limit_s, req.time_left_s)
@@ -276,6 +281,12 @@
                     self._log.log_abandoned_attempt(call, attempt, task)
             self._losing_attempts.cancel_later(running)
 
+    def _can_repeat(self, call: Call) -> bool:
+        """Return whether a request may run twice, by its route then and now."""
+        return call.selection_req.route.idempotent and self.can_run_concurrently(
+            call.req
+        )
+
     def _check_may_send(self, call: Call) -> None:
         """Refuse to send a request again that may have run."""
         if not self._invariants.check(
@@ -285,6 +296,8 @@
             "a request that may have run would be sent again",
         ):
             raise Refused("it may have run", 0.0, code="may_have_run")
+        if call.may_have_run and not self._can_repeat(call):
+            raise Refused("the route no longer allows repeats", 0.0, code=WITHDRAWN)
 
     async def _wait_for_crash_check(self, call: Call) -> None:
         """Wait for a while for what a repeat depends on; the check goes on."""
@@ -359,6 +372,8 @@
         if selection is None or any(task.done() for task in running):
             return None
         now_s = self._now()
+        if not self._can_repeat(call):
+            return None
         if not hedging.has_idle_capacity(selection, call.selection_req, now_s):
             return None
         if not self._retry_budget.try_spend(
@@ -426,6 +441,8 @@
             call.digest = call.digest or self._crash_watch.find(call.req)
             if self._crash_watch.registry.is_blocked(call.digest or b""):
                 raise NotSentError("servers crash under it", code=CRASHES_SERVERS)
+            if call.attempts > 1 and not self._can_repeat(call):
+                raise NotSentError("the route no longer allows repeats", code=WITHDRAWN)
             if not self._selector.is_allowed(load, route, self._now()):
                 raise NotSentError("the server is out of service", code=WITHDRAWN)
             if self._load_table.loads.get(load.entry.id) is not load:
@@ -559,7 +576,7 @@
         if has_other_attempts:
             return None
         if (
-            route.idempotent
+            self._can_repeat(call)
             and self._crash_watch.count(call.digest) <= MAX_CRASHES_TO_REPEAT
             and call.attempts < route.max_attempts
             and self._now() + MIN_ATTEMPT_TIME_S < call.selection_req.deadline_s
