Read limits and notices only from answers that name their request

An unnamed 421 on a new connection ended a server's known rate limit, and a leaving notice or Retry-After in an answer that names nobody bound the host.

--- a/src/crocusward/relay/_exchange.py
+++ b/src/crocusward/relay/_exchange.py
@@ -346,8 +346,9 @@
 ) -> Exchange:
     """Decide whether the request has run, and whether the answer is passed on."""
     status = answer.status
-    is_misdirected = status == MISDIRECTED_STATUS and answer.match is AnswerMatch.OWN
-    if not is_misdirected:
+    is_own = answer.match is AnswerMatch.OWN
+    is_misdirected = is_own and status == MISDIRECTED_STATUS
+    if is_own and not is_misdirected:
         _read_rate_limit(answer.headers, observation)
         _read_notices(answer, observation)
     if evidence in _REFUSALS:
