Refuse a request with several ids

A server that echoes all of them names no single request, so its answer was skipped and the caller waited for its time limit. Such a head is malformed now: 400.

--- a/src/crocusward/relay/_pending.py
+++ b/src/crocusward/relay/_pending.py
@@ -45,7 +45,7 @@
 def parse_head(
     method: str, target: bytes, headers: Headers, received_s: float
 ) -> CallerRequest | None:
-    """Return the request of a head, or None if target or host are malformed.
+    """Return the request of a head, or None if target, host or id are malformed.
 
     Args:
         method: HTTP method.
@@ -54,7 +54,8 @@
         received_s: When the head was complete, in monotonic seconds.
     """
     hosts = [value for name, value in headers if name == b"host"]
-    if len(hosts) != 1 or not target.startswith(b"/"):
+    ids = {value for name, value in headers if name == REQUEST_ID_HEADER}
+    if len(hosts) != 1 or len(ids) > 1 or not target.startswith(b"/"):
         return None
     try:
         text = target.decode("ascii")
