--- a/src/crocusward/relay/_exchange.py
+++ b/src/crocusward/relay/_exchange.py
@@ -295,6 +295,10 @@
     )
 
 
+def _find_ids(headers: Headers) -> set[bytes]:
+    return {value for name, value in headers if name == REQUEST_ID_HEADER and value}
+
+
 def match_answer(
     headers: Headers, id: bytes, history: ConnectionHistory
 ) -> AnswerMatch:
@@ -305,16 +309,15 @@
     connection has carried nothing before. Then a server that cannot parse the request
     may have sent it.
     """
-    named = [value for name, value in headers if name == REQUEST_ID_HEADER]
-    if named:
-        return AnswerMatch.OWN if set(named) == {id} else AnswerMatch.OTHER
+    ids = _find_ids(headers)
+    if ids:
+        return AnswerMatch.OWN if ids == {id} else AnswerMatch.OTHER
     return AnswerMatch.UNNAMED if history.exchange_count == 1 else AnswerMatch.OTHER
 
 
 def match_probe_answer(headers: Headers, history: ConnectionHistory) -> AnswerMatch:
     """Return whether an answer may be that to a probe, which has no id."""
-    is_named = any(name == REQUEST_ID_HEADER for name, _ in headers)
-    return AnswerMatch.OTHER if is_named else AnswerMatch.UNNAMED
+    return AnswerMatch.OTHER if _find_ids(headers) else AnswerMatch.UNNAMED
 
 
 def _read_answer(id: str, answer: HttpAnswer, req: CallerRequest) -> Exchange:
