--- a/src/crocusward/relay/_exchange.py
+++ b/src/crocusward/relay/_exchange.py
@@ -40,6 +40,7 @@
 MAX_ANSWER_BYTES = 16 << 20  # answers are buffered until they are known to be complete
 MAX_PROBE_BYTES = 4096
 MISDIRECTED_STATUS = 421
+DENIED_MARKS = frozenset({b"0", b"false"})  # values of a not-run header that denies it
 UNAVAILABLE_STATUS = 503
 RETRY_AFTER_HEADER = b"retry-after"
 LEAVING_VALUE = b"1"
@@ -329,7 +330,7 @@
         elif name == COLD_LEFT_MS_HEADER:
             _parse_cold_time(value, observation)
         elif name == NOT_RUN:
-            has_not_run_header = True
+            has_not_run_header = value.strip().lower() not in DENIED_MARKS
         elif name == BODY_DIGEST_HEADER:
             has_digest = True
     status = answer.status
