Do not reuse a connection for an id that it has just answered

A caller that used the id of an answered request again could get a second copy of the first answer, while the second request ran or was refused. A connection now also remembers the ids of its last 8 other answers. It is a bounded guard: remembering all would cost memory for each connection or a new connection now and then, for callers that seldom do this. The limit of ids with error answers falls from 64 to 32, which take about 3.4 KB for one connection (sys.getsizeof).

test_copy_of_an_answer_is_not_that_to_the_same_id_again got the bodies "run 1", "run 1" before; now "run 1", "run 2" (python -m unittest tests.test_caller_side_runs).

--- a/src/crocusward/upstream/_connection.py
+++ b/src/crocusward/upstream/_connection.py
@@ -20,6 +20,11 @@
 MAX_SKIPPED_ANSWERS = 8  # mismatched answers in one exchange
 FRAMING_FACTOR = 8  # framing bytes for each body byte, in chunks of one byte
 PEEK_AFTER_IDLE_S = 0.2
+MIN_ERROR_STATUS = 400
+# Ids with error answers on one connection. It then closes instead of forgetting one,
+# as callers may send a refused request again. 32 take about 3 KB.
+MAX_FAILED_IDS = 32
+MAX_RECENT_IDS = 8  # with other answers; a caller seldom uses the id of one again
 # Codes of the errors of exchanges in which no byte of an answer arrived.
 SILENT = "silent"  # in time
 CUT = "cut"  # before the connection ended
@@ -111,6 +116,7 @@
         exchange_count: Number of exchanges started.
         has_named_answer: Whether an answer has named its request.
         failed_id_hashes: Hashes of the ids of requests that got an error answer.
+        recent_id_hashes: Hashes of the ids of the latest requests that got another one.
         skipped_answers: Number of answers skipped as belonging to another request.
         on_closed: Called once when the connection is closed.
     """
@@ -123,6 +129,7 @@
         "exchange_count",
         "has_named_answer",
         "failed_id_hashes",
+        "recent_id_hashes",
         "skipped_answers",
         "on_closed",
         "_timer",
@@ -173,6 +180,7 @@
         self.exchange_count = 0
         self.has_named_answer = False
         self.failed_id_hashes: set[int] = set()
+        self.recent_id_hashes: list[int] = []
         self.skipped_answers = 0
         self.on_closed: Callable[[HttpConnection], object] | None = None
         self._timer = timer
@@ -283,12 +291,26 @@
             if self._memory_budget is not None:
                 self._memory_budget.release(id(self))
 
+    def note_answered(self, id_hash: int, status: int) -> None:
+        """Remember that a request got an answer with a status here."""
+        if status >= MIN_ERROR_STATUS:
+            self.failed_id_hashes.add(id_hash)
+            return
+        self.recent_id_hashes.append(id_hash)
+        if len(self.recent_id_hashes) > MAX_RECENT_IDS:
+            del self.recent_id_hashes[0]
+
+    def has_answered(self, id_hash: int) -> bool:
+        """Return whether a request with this id is known to have got an answer here."""
+        return id_hash in self.failed_id_hashes or id_hash in self.recent_id_hashes
+
     def can_be_reused(self) -> bool:
         """Return True if another exchange may follow the last one."""
         transport = self._transport
         return (
             not self.is_closed
             and self._keep_alive
+            and len(self.failed_id_hashes) < MAX_FAILED_IDS
             and transport is not None
             and transport.get_write_buffer_size() == 0
         )
--- a/src/crocusward/upstream/_pool.py
+++ b/src/crocusward/upstream/_pool.py
@@ -21,9 +21,6 @@
 DEFAULT_MAX_CONNECTIONS = 16
 DEFAULT_IDLE_TIMEOUT_S = 30.0
 READ_BUFFER_BYTES = 65_536
-MIN_ERROR_STATUS = 400
-# Of one connection, which is then closed instead of forgetting one of them.
-MAX_FAILED_IDS = 64
 KEEP_ALIVE_SHARE = 0.8  # of the Keep-Alive timeout, after which the server closes
 DEFAULT_CONNECT_TIMEOUT_S = 1.0  # the slowest path takes 12 ms one way
 
@@ -145,8 +142,8 @@
             max_idle_s: Maximum idle time of a reused connection, in seconds.
             host: Value of the Host header; defaults to address and port.
             request_id: Id of the request, or b"". A connection on which this id got an
-                error answer is not used for it again, since a second copy of that
-                answer would be taken for the answer to this request.
+                answer is not used for it again, since a second copy of that answer
+                would be taken for the answer to this request.
 
         Raises:
             NotSentError: No byte was written.
@@ -185,8 +182,8 @@
                 if exc.reused and exc.code == SILENT:
                     self._distrust_idle(endpoint, sent_s)
             raise
-        if request_id and answer.status >= MIN_ERROR_STATUS:
-            conn.failed_id_hashes.add(hash(request_id))
+        if request_id:
+            conn.note_answered(hash(request_id), answer.status)
         if answer.match is AnswerMatch.UNNAMED and not keep_after_unnamed:
             conn.abort()
         self._release(endpoint, conn, answer)
@@ -271,7 +268,7 @@
             limit_s = conn.idle_limit_s if max_idle_s is None else max_idle_s
             if idle_s > min(limit_s, conn.idle_limit_s):
                 conn.abort()
-            elif id_hash in conn.failed_id_hashes:
+            elif conn.has_answered(id_hash):
                 skipped.append(conn)
             elif conn.is_usable():
                 conn.idle_before_s = idle_s
@@ -288,7 +285,6 @@
             or not self._reuse
             or endpoint.open_count > self._limit(endpoint)
             or not conn.can_be_reused()
-            or len(conn.failed_id_hashes) >= MAX_FAILED_IDS
         ):
             conn.abort()
             return
--- a/tests/test_caller_side_runs.py
+++ b/tests/test_caller_side_runs.py
@@ -15,7 +15,7 @@
 from crocusward.errors import NotSentError
 from crocusward.relay._caller import MAX_PIPELINED_REQUESTS
 from crocusward.upstream import AnswerMemoryBudget
-from crocusward.upstream._pool import MAX_FAILED_IDS
+from crocusward.upstream._connection import MAX_FAILED_IDS
 
 from .daemon_support import WholeDaemon
 from .entry_support import EntryClient, desired, reply, route
@@ -43,6 +43,7 @@
         runs: Number of runs by request id.
         refusals: Answers to the next requests, which do not run. Each comes once more
             before the next answer on its connection.
+        repeats_answers: Whether the other answers do so too.
     """
 
     def __init__(self, work_s=WORK_S):
@@ -50,6 +51,7 @@
         self.work_s = work_s
         self.runs = Counter()
         self.refusals = []
+        self.repeats_answers = False
         self._copies = {}
 
     async def _answer(self, reader, writer):
@@ -63,7 +65,10 @@
             return True
         self.runs[id] += 1
         await asyncio.sleep(self.work_s)
-        writer.write(reply(id))
+        answer = reply(id, b"run %d" % self.runs[id])
+        writer.write(answer)
+        if self.repeats_answers:
+            self._copies[writer] = answer
         return True
 
 
@@ -301,6 +306,14 @@
                 statuses = [(await client.ask(*POST, id="q1")).status for _ in "12"]
         self.assertEqual((statuses, server.runs), ([503, 200], {"q1": 1}))
 
+    async def test_copy_of_an_answer_is_not_that_to_the_same_id_again(self):
+        async with CountingServer() as server:
+            async with self.relay(server) as relay:
+                server.repeats_answers = True
+                client = await relay.client()
+                bodies = [(await client.ask(*POST, id="q1")).body for _ in "12"]
+        self.assertEqual(bodies, [b"run 1", b"run 2"])
+
     async def ask_pool(self, relay, server, *ids):
         for id in ids:
             await relay.pool.request(
