Own interface: believe a shed answer only if it names the request

An answer 503 with X-Backend-Shed: 1 counted as 'not run' although it named no request. It may be the copy of the refusal of a probe or of an earlier request on the connection. Dispatch then sent a non-idempotent request to a second server and told the send guard that the first had not run.

Such an answer now counts as a lost exchange: a non-idempotent request gets backend_lost (502, outcome unknown), its key becomes unknown; an idempotent one may be repeated.

test_shed_without_an_id_does_not_repeat_a_request and test_shed_without_an_id_makes_the_key_unknown failed before (python -m unittest tests.test_at_most_once: the second server ran the request and its answer was returned).

--- a/src/crocusward/dispatch/_attempts.py
+++ b/src/crocusward/dispatch/_attempts.py
@@ -21,6 +21,8 @@
 
 CODE_WITHDRAWN = "withdrawn"
 CODE_UNCONFIRMED = "config_unconfirmed"
+CODE_UNNAMED_REFUSAL = "unnamed_refusal"
+UNNAMED_REFUSAL_REASON = "the backend server refused without naming the request"
 MAX_WITHDRAWAL_COUNT = 3
 ESTIMATED_HEADER_BYTES = 1024  # headers of request and answer; for the link budget
 ESTIMATED_ANSWER_BYTES = 4096
@@ -240,7 +242,13 @@
         )
         if not answer.shed:
             return answer
-        self._after_shed(call, reservation, state)
+        if answer.request_id == call.request_id:
+            self._after_shed(call, reservation, state)
+            return None
+        # It may be the copy of a refusal of a probe or of an earlier request.
+        state.may_have_run = True
+        lost = ExchangeLostError(UNNAMED_REFUSAL_REASON, code=CODE_UNNAMED_REFUSAL)
+        self._after_lost(call, idempotent, reservation, lost, state)
         return None
 
     async def _exchange(
@@ -362,7 +370,9 @@
             return
         raise Refusal(
             RefusalCode.BACKEND_LOST,
-            "the connection to the backend server broke before the whole answer",
+            UNNAMED_REFUSAL_REASON
+            if exc.code == CODE_UNNAMED_REFUSAL
+            else "the connection to the backend server broke before the whole answer",
         )
 
     def _may_retry(self, call: Call) -> bool:
--- a/src/crocusward/model/_call.py
+++ b/src/crocusward/model/_call.py
@@ -106,7 +106,8 @@
         body: Complete body.
         load: Requests in flight per the server's load report, or -1 if absent.
         boot: Boot id that the server reported, or "" if absent.
-        shed: True if the server shed the request before running it.
+        shed: True if the answer says that the server did not run the request. It
+            proves that only for the request that it names.
         draining: True if the server reported that it is draining.
         rate_limit_per_s: Requests per second that the server takes from all hosts,
             0.0 if it names no limit, -1 if unknown.
--- /dev/null
+++ b/tests/test_at_most_once.py
@@ -0,0 +1,149 @@
+"""What shows the own interface that a non-idempotent request has not run."""
+
+import asyncio
+import random
+import unittest
+from types import SimpleNamespace
+
+from crocusward.config import ServingMode
+from crocusward.dispatch import AttemptRunner, AttemptTrace
+from crocusward.errors import Outcome, Refusal
+from crocusward.invariants import Invariants
+from crocusward.ledger import Ledger, SendGuard
+from crocusward.limits import RetryBudget
+from crocusward.model import Backend, Call, Contract
+from crocusward.timing import LoopTimer
+from crocusward.upstream import HttpPool, HttpUpstream
+
+from .scripted_server import ScriptedServer, answer
+
+SHED = (b"X-Backend-Shed: 1", b"X-Backend-Load: 1")
+OWN = b"X-Request-Id: r1"
+DEADLINE_S = 1.0
+CONTRACT = Contract("jobs", "liit", frozenset({"svc"}))
+
+
+def shed(*headers):
+    """Return a refusal that says that the request has not run."""
+    return answer(b"", *SHED, *headers, status=b"503 Busy")
+
+
+def make_call(request_id="r1", method="POST", key=""):
+    deadline_s = asyncio.get_running_loop().time() + DEADLINE_S
+    return Call(
+        request_id, "jobs", "svc", method, "/job", key=key, deadline_s=deadline_s
+    )
+
+
+class ListRouter:
+    """Selects the first server of a list that is not excluded."""
+
+    def __init__(self, servers):
+        self.backends = [
+            Backend(f"b{n}", "svc", "pohja", "tallinn-a", "127.0.0.1", server.port)
+            for n, server in enumerate(servers)
+        ]
+
+    async def acquire(self, req):
+        for backend in self.backends:
+            if backend.id not in req.excluded:
+                return SimpleNamespace(backend=backend)
+        raise AssertionError("no server left")
+
+    def start(self, reservation):
+        return True
+
+    def finish(self, reservation, result):
+        pass
+
+
+class AttemptCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.timer = LoopTimer(asyncio.get_running_loop(), random.Random(1))
+        self.pool = HttpPool(self.timer)
+        self.addCleanup(self.pool.close)
+        self.invariants = Invariants()
+        self.upstream = HttpUpstream(self.pool, self.invariants)
+        self.guard = SendGuard(self.invariants)
+
+    def make_runner(self, servers, *, faults=frozenset()):
+        self.router = ListRouter(servers)
+        return AttemptRunner(
+            self.timer,
+            "pohja",
+            self.router,
+            self.upstream,
+            lambda: ServingMode.NORMAL,
+            RetryBudget(),
+            self.invariants,
+            faults,
+        )
+
+    async def send(self, runner, call, guard=None):
+        return await runner.run(
+            call,
+            CONTRACT,
+            idempotent=call.method == "GET",
+            guard=None if call.method == "GET" else guard or self.guard,
+            trace=AttemptTrace(),
+        )
+
+    async def refused(self, runner, call=None, guard=None):
+        with self.assertRaises(Refusal) as caught:
+            await self.send(runner, call or make_call(), guard)
+        return caught.exception
+
+
+class ShedAnswerTest(AttemptCase):
+    """Guards against a refusal that is believed to be that of another request."""
+
+    async def test_shed_without_an_id_does_not_repeat_a_request(self):
+        async with (
+            ScriptedServer([shed()]) as first,
+            ScriptedServer([answer(b"ok", OWN)]) as second,
+        ):
+            refusal = await self.refused(self.make_runner([first, second]))
+        self.assertEqual((refusal.code, refusal.status), ("backend_lost", 502))
+        self.assertIs(refusal.outcome, Outcome.UNKNOWN)
+        self.assertEqual(second.requests, [])
+        self.assertTrue(self.guard.sent)
+
+    async def test_shed_without_an_id_makes_the_key_unknown(self):
+        ledger = Ledger(self.timer, self.invariants)
+        async with (
+            ScriptedServer([shed()]) as first,
+            ScriptedServer([answer(b"ok", OWN)]) as second,
+        ):
+            runner = self.make_runner([first, second])
+            call = make_call(key="k")
+            with self.assertRaises(Refusal) as caught:
+                await ledger.run(
+                    call,
+                    lambda guard: self.send(runner, call, guard),
+                    check_first_send=lambda: None,
+                )
+        self.assertEqual(caught.exception.code, "backend_lost")
+        self.assertEqual(ledger.outcome("jobs", "k").state, "unknown")
+        self.assertEqual(second.requests, [])
+
+    async def test_shed_without_an_id_lets_idempotent_requests_go_on(self):
+        async with (
+            ScriptedServer([shed()]) as first,
+            ScriptedServer([answer(b"ok", OWN)]) as second,
+        ):
+            reply = await self.send(
+                self.make_runner([first, second]), make_call(method="GET")
+            )
+        self.assertEqual((reply.status, reply.backend), (200, "b1"))
+
+    async def test_shed_that_names_the_request_is_believed(self):
+        async with (
+            ScriptedServer([shed(OWN)]) as first,
+            ScriptedServer([answer(b"ok", OWN)]) as second,
+        ):
+            reply = await self.send(self.make_runner([first, second]), make_call())
+        self.assertEqual((reply.status, reply.backend), (200, "b1"))
+
+
+if __name__ == "__main__":
+    unittest.main()
