Own interface: skip answers that name a request where a probe waits

A second answer to a request was taken for the load report of the next probe, whose own answer then came where that of the next request was expected. Probes have no id, so an answer that names a request is not theirs. An empty X-Request-Id names none: servers echo the id of a probe so.

test_copy_of_an_answer_to_a_request_is_no_load_report failed before (load 9 and draining, by the copy, for 1 and not draining). The entry daemon and the own interface share find_values. test_server_that_names_no_request_is_served_beside_probes passed before and after.

--- a/src/crocusward/relay/_exchange.py
+++ b/src/crocusward/relay/_exchange.py
@@ -29,6 +29,7 @@
     ConnectionHistory,
     HttpAnswer,
     HttpPool,
+    find_values,
     parse_digits,
     parse_rate_limit,
     parse_retry_after,
@@ -298,15 +299,15 @@
     connection has carried nothing before. Then a server that cannot parse the request
     may have sent it.
     """
-    named = [value for name, value in headers if name == REQUEST_ID_HEADER]
+    named = find_values(headers, REQUEST_ID_HEADER)
     if named:
-        return AnswerMatch.OWN if set(named) == {id} else AnswerMatch.OTHER
+        return AnswerMatch.OWN if named == {id} else AnswerMatch.OTHER
     return AnswerMatch.UNNAMED if history.exchange_count == 1 else AnswerMatch.OTHER
 
 
 def match_probe_answer(headers: Headers, history: ConnectionHistory) -> AnswerMatch:
     """Return whether an answer may be that to a probe, which has no id."""
-    is_named = any(name == REQUEST_ID_HEADER for name, _ in headers)
+    is_named = bool(find_values(headers, REQUEST_ID_HEADER))
     return AnswerMatch.OTHER if is_named else AnswerMatch.UNNAMED
 
 
--- a/src/crocusward/upstream/__init__.py
+++ b/src/crocusward/upstream/__init__.py
@@ -13,6 +13,7 @@
 from ._headers import (
     HOP_BY_HOP_NAMES,
     HeaderNames,
+    find_values,
     parse_digits,
     parse_rate_limit,
     parse_retry_after,
@@ -39,6 +40,7 @@
     "ReadPacer",
     "Upstream",
     "UpstreamRequest",
+    "find_values",
     "parse_digits",
     "parse_rate_limit",
     "parse_retry_after",
--- a/src/crocusward/upstream/_client.py
+++ b/src/crocusward/upstream/_client.py
@@ -10,6 +10,7 @@
 from ._headers import (
     HOP_BY_HOP_NAMES,
     HeaderNames,
+    find_values,
     parse_rate_limit,
     select_end_to_end_headers,
 )
@@ -123,6 +124,7 @@
             PROBE_PATH,
             timeout_s=timeout_s,
             limit_bytes=MAX_PROBE_BYTES,
+            matches_request=self._match_probe_answer,
         )
         result = BackendAnswer(answer.status, [], b"")
         if answer.status == 200:
@@ -137,18 +139,27 @@
 
         Servers need not name requests, but one that does so names them all.
         """
-        if any(name == self._names.request_id for name, _ in headers):
+        if self._find_request_ids(headers):
             return AnswerMatch.OWN
         return AnswerMatch.OTHER if history.has_named_answer else AnswerMatch.UNNAMED
 
+    def _match_probe_answer(
+        self, headers: Headers, history: ConnectionHistory
+    ) -> AnswerMatch:
+        """Return whether an answer may be that to a probe, which has no id."""
+        is_named = bool(self._find_request_ids(headers))
+        return AnswerMatch.OTHER if is_named else AnswerMatch.UNNAMED
+
     def _check_request_id(self, answer: HttpAnswer, request_id: bytes) -> None:
-        name = self._names.request_id
-        for header in answer.headers:
-            if header[0] == name and header[1] != request_id:
-                self.mismatched_answers += 1
-                raise ExchangeLostError(
-                    "the answer names another request", code="foreign_answer"
-                )
+        if self._find_request_ids(answer.headers) - {request_id}:
+            self.mismatched_answers += 1
+            raise ExchangeLostError(
+                "the answer names another request", code="foreign_answer"
+            )
+
+    def _find_request_ids(self, headers: Headers) -> set[bytes]:
+        """Return the requests that an answer names; an empty id names none."""
+        return find_values(headers, self._names.request_id) - {b""}
 
     def _build_backend_answer(
         self, answer: HttpAnswer, req: UpstreamRequest
@@ -172,7 +183,7 @@
     def _parse_backend_headers(self, answer: HttpAnswer, result: BackendAnswer) -> None:
         names = self._names
         for name, value in answer.headers:
-            if name == names.request_id:
+            if name == names.request_id and value:
                 result.request_id = value.decode("latin-1")
             elif name == names.load:
                 result.load = _parse_load(value)
--- a/src/crocusward/upstream/_headers.py
+++ b/src/crocusward/upstream/_headers.py
@@ -1,7 +1,7 @@
 """Header names of the platform and removal of hop-by-hop headers."""
 
 import re
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
 from ..model import Record
 
@@ -114,6 +114,11 @@
     return float(text)
 
 
+def find_values(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> set[bytes]:
+    """Return the different values of one header."""
+    return {value for found, value in headers if found == name}
+
+
 def select_end_to_end_headers(
     headers: Sequence[tuple[bytes, bytes]], dropped_names: Collection[bytes]
 ) -> list[tuple[bytes, bytes]]:
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -145,5 +145,38 @@
         self.assertEqual((reply.status, reply.backend), (200, "b1"))
 
 
+class ProbeTest(AttemptCase):
+    """Guards against probes that read the answer to a request."""
+
+    REPORT = b'{"in_flight": 1, "boot": "b7", "draining": false}'
+
+    async def test_copy_of_an_answer_to_a_request_is_no_load_report(self):
+        late = answer(b'{"in_flight": 9, "boot": "b7", "draining": true}', OWN)
+        script = [answer(b"ok", OWN)], [late, 0.02, answer(self.REPORT)]
+        async with ScriptedServer(*script) as server:
+            runner = self.make_runner([server])
+            await self.send(runner, make_call())
+            report = await self.upstream.probe(self.router.backends[0], 0.5)
+        self.assertEqual((report.load, report.draining), (1, False))
+        self.assertEqual(server.connections, 1)
+
+    async def test_refusal_of_a_probe_with_an_empty_id_is_read(self):
+        script = [shed(b"X-Request-Id: ", b"X-Backend-Draining: 1")]
+        async with ScriptedServer(script) as server:
+            self.make_runner([server])
+            report = await self.upstream.probe(self.router.backends[0], 0.5)
+        self.assertEqual(report.status, 503)
+
+    async def test_server_that_names_no_request_is_served_beside_probes(self):
+        script = [answer(b"ok")], [answer(self.REPORT)], [answer(b"ok")]
+        async with ScriptedServer(*script) as server:
+            runner = self.make_runner([server])
+            await self.send(runner, make_call())
+            await self.upstream.probe(self.router.backends[0], 0.5)
+            reply = await self.send(runner, make_call("r2"), SendGuard(self.invariants))
+        self.assertEqual((reply.status, reply.body), (200, b"ok"))
+        self.assertEqual(server.connections, 1)
+
+
 if __name__ == "__main__":
     unittest.main()
