Own interface: reuse no connection that carried a refusal

A server may send a refusal twice; the copy came where the next answer on the connection was expected. The id in it does not help when a caller repeats a refused request under the same X-Request-Id: the copy named the repeated request, which then ran at two servers. After the refusal of a probe, the copy made the next non-idempotent request end as backend_lost.

The connection is closed after an answer with the shed mark, and after each answer to a probe that is no 200. Price: one new connection per refusal (not measured under load).

test_copy_of_a_refusal_with_an_id_that_is_used_again_is_no_answer (1 run at both servers) and test_copy_of_the_refusal_of_a_probe_is_no_answer (backend_lost for 200) failed before.

--- a/src/crocusward/upstream/_client.py
+++ b/src/crocusward/upstream/_client.py
@@ -21,7 +21,9 @@
 MAX_PROBE_BYTES = 4096  # a load report has three short fields
 MAX_BOOT_CHARS = 64
 MAX_LOAD_DIGITS = 6  # ample: a backend server runs two requests at a time
+_OK = 200
 _NOT_MODIFIED = 304
+_UNAVAILABLE = 503
 
 
 class HttpUpstream:
@@ -101,6 +103,7 @@
             limit_bytes=req.answer_bytes,
             check=lambda answer: self._check_request_id(answer, request_id),
             matches_request=self._match_answer,
+            may_reuse=lambda answer: not self._is_shed(answer),
             before_write=req.before_write,
         )
         return self._build_backend_answer(answer, req)
@@ -125,9 +128,10 @@
             timeout_s=timeout_s,
             limit_bytes=MAX_PROBE_BYTES,
             matches_request=self._match_probe_answer,
+            may_reuse=lambda answer: answer.status == _OK,
         )
         result = BackendAnswer(answer.status, [], b"")
-        if answer.status == 200:
+        if answer.status == _OK:
             result = _parse_probe(answer)
         self._read_rate_limit(answer, result)
         return result
@@ -157,6 +161,15 @@
                 "the answer names another request", code="foreign_answer"
             )
 
+    def _is_shed(self, answer: HttpAnswer) -> bool:
+        """Return whether an answer says that the server did not run the request.
+
+        Its connection is not reused: a second copy could be taken for the answer to a
+        later request, even by its id, since callers may use an id again.
+        """
+        values = find_values(answer.headers, self._names.shed)
+        return answer.status == _UNAVAILABLE and values == {b"1"}
+
     def _find_request_ids(self, headers: Headers) -> set[bytes]:
         """Return the requests that an answer names; an empty id names none."""
         return find_values(headers, self._names.request_id) - {b""}
@@ -182,6 +195,7 @@
 
     def _parse_backend_headers(self, answer: HttpAnswer, result: BackendAnswer) -> None:
         names = self._names
+        result.shed = self._is_shed(answer)
         for name, value in answer.headers:
             if name == names.request_id and value:
                 result.request_id = value.decode("latin-1")
@@ -189,8 +203,6 @@
                 result.load = _parse_load(value)
             elif name == names.boot:
                 result.boot = value[:MAX_BOOT_CHARS].decode("latin-1")
-            elif name == names.shed:
-                result.shed = value == b"1" and answer.status == 503
             elif name == names.draining:
                 result.draining = value == b"1"
 
--- a/src/crocusward/upstream/_pool.py
+++ b/src/crocusward/upstream/_pool.py
@@ -115,6 +115,7 @@
         before_write: Callable[[], object] | None = None,
         matches_request: MatchRequest | None = None,
         keep_after_unnamed: bool = True,
+        may_reuse: Callable[[HttpAnswer], bool] | None = None,
         allow_close_delimited: bool = False,
         max_idle_s: float | None = None,
         host: bytes | None = None,
@@ -137,6 +138,7 @@
             matches_request: See ``HttpConnection.exchange``.
             keep_after_unnamed: Whether the connection may be reused after an answer
                 that names no request. The answer to this one may still follow.
+            may_reuse: Returns whether the connection may be reused after an answer.
             allow_close_delimited: See ``HttpConnection.exchange``.
             max_idle_s: Maximum idle time of a reused connection, in seconds.
             host: Value of the Host header; defaults to address and port.
@@ -180,6 +182,8 @@
             raise
         if answer.match is AnswerMatch.UNNAMED and not keep_after_unnamed:
             conn.abort()
+        elif may_reuse is not None and not may_reuse(answer):
+            conn.abort()
         self._release(endpoint, conn, answer)
         return answer
 
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -65,6 +65,7 @@
         self.invariants = Invariants()
         self.upstream = HttpUpstream(self.pool, self.invariants)
         self.guard = SendGuard(self.invariants)
+        self.retry_budget = RetryBudget()
 
     def make_runner(self, servers, *, faults=frozenset()):
         self.router = ListRouter(servers)
@@ -74,7 +75,7 @@
             self.router,
             self.upstream,
             lambda: ServingMode.NORMAL,
-            RetryBudget(),
+            self.retry_budget,
             self.invariants,
             faults,
         )
@@ -145,6 +146,64 @@
         self.assertEqual((reply.status, reply.backend), (200, "b1"))
 
 
+class CopyingServer(ScriptedServer):
+    """Sends a copy of each refusal where the next answer is expected.
+
+    Attributes:
+        runs: Number of requests answered otherwise.
+    """
+
+    def __init__(self, *script):
+        super().__init__(*script)
+        self.runs = 0
+        self.copies = {}
+
+    async def _answer(self, reader, writer):
+        self.requests.append(await reader.readuntil(b"\r\n\r\n"))
+        writer.write(self.copies.pop(writer, b""))
+        (data,) = self.script.pop(0)
+        if data.startswith(b"HTTP/1.1 503"):
+            self.copies[writer] = data
+        else:
+            self.runs += 1
+        writer.write(data)
+        return True
+
+
+class RepeatedRefusalTest(AttemptCase):
+    """Guards against the copy of a refusal that is taken for the next answer."""
+
+    async def test_copy_of_the_refusal_of_a_probe_is_no_answer(self):
+        own = answer(b"ok", OWN)
+        async with (
+            CopyingServer([shed()], [own]) as first,
+            CopyingServer([own]) as second,
+        ):
+            runner = self.make_runner([first, second])
+            await self.upstream.probe(self.router.backends[0], 0.5)
+            reply = await self.send(runner, make_call())
+        self.assertEqual((reply.status, first.runs, second.runs), (200, 1, 0))
+
+    async def test_copy_of_a_refusal_with_an_id_that_is_used_again_is_no_answer(self):
+        own = answer(b"ok", OWN)
+        async with (
+            CopyingServer([shed(OWN)], [own]) as first,
+            CopyingServer([own]) as second,
+        ):
+            await self.refuse_once(first)
+            runner = self.make_runner([first, second])
+            reply = await self.send(runner, make_call())
+        self.assertEqual((reply.status, first.runs, second.runs), (200, 1, 0))
+
+    async def refuse_once(self, server):
+        """Send a request that its caller will repeat under the same id."""
+        self.retry_budget = RetryBudget(share=-1.0)  # allows no second server
+        runner = self.make_runner([server])
+        refusal = await self.refused(runner, guard=SendGuard(self.invariants))
+        self.assertIs(refusal.outcome, Outcome.NOT_RUN)
+        self.retry_budget = RetryBudget()
+
+
 class ProbeTest(AttemptCase):
     """Guards against probes that read the answer to a request."""
 
