Own interface: do not send or refuse what a run-time check finds in doubt

The checks AT_MOST_ONCE and NOT_RUN of the attempts counted a violation and let the host go on: a request that may have run went to a second server, or was refused as not run. Both now end in outcome unknown and no second send. They are the last guard should other code misjudge an attempt. The guard of a request without a key no longer has a way to allow a second send.

test_injected_retry_is_recorded_and_not_sent (200 from the second server for backend_lost) and test_injected_not_run_is_recorded_and_corrected (not-run for unknown) failed before.

--- a/src/crocusward/dispatch/_attempts.py
+++ b/src/crocusward/dispatch/_attempts.py
@@ -157,6 +157,7 @@
     ) -> Reply:
         route = self._route_request(call, contract, idempotent, state)
         while True:
+            self._check_may_send(idempotent, state)
             reservation = await self._acquire(route, state.trace)
             answer = await self._run_attempt(
                 call, contract, idempotent, reservation, state
@@ -164,6 +165,15 @@
             if answer is not None:
                 return self._reply(call, answer, reservation)
 
+    def _check_may_send(self, idempotent: bool, state: _RequestState) -> None:
+        """Refuse to send a request again that may have run."""
+        if not self._invariants.check(
+            InvariantName.AT_MOST_ONCE,
+            idempotent or not state.may_have_run,
+            "a request that may have run would be sent again",
+        ):
+            raise Refusal(RefusalCode.BACKEND_LOST, "an earlier attempt may have run")
+
     def _reply(
         self, call: Call, answer: BackendAnswer, reservation: Reservation
     ) -> Reply:
@@ -386,18 +396,23 @@
 
     def _correct_outcome(self, refusal: Refusal, state: _RequestState) -> Refusal:
         """Return the refusal with an outcome that covers all attempts."""
-        may_have_run = state.may_have_run
-        if may_have_run and "false-not-run" not in self._faults:
-            refusal.outcome = Outcome.UNKNOWN
-            refusal.attempt = Attempt.MAYBE_SENT
-        self._invariants.check(
+        is_in_doubt = state.may_have_run or state.is_written
+        if state.may_have_run and "false-not-run" not in self._faults:
+            _mark_unknown(refusal)
+        if not self._invariants.check(
             InvariantName.NOT_RUN,
-            not may_have_run or refusal.outcome is Outcome.UNKNOWN,
-            "a refusal says not-run for a request that was written",
-        )
+            not is_in_doubt or refusal.outcome is Outcome.UNKNOWN,
+            "a refusal would say not-run for a request that was written",
+        ):
+            _mark_unknown(refusal)
         return refusal
 
 
+def _mark_unknown(refusal: Refusal) -> None:
+    refusal.outcome = Outcome.UNKNOWN
+    refusal.attempt = Attempt.MAYBE_SENT
+
+
 def _matches_request(call: Call, answer: BackendAnswer) -> bool:
     return answer.request_id in ("", call.request_id)
 
--- a/src/crocusward/dispatch/_dispatcher.py
+++ b/src/crocusward/dispatch/_dispatcher.py
@@ -229,7 +229,7 @@
         try:
             if call.key:
                 return await self._run_keyed(call, contract, home, trace)
-            guard = None if idempotent else self._make_guard()
+            guard = None if idempotent else SendGuard(self._invariants)
             return await self._attempts.run(
                 call, contract, idempotent=idempotent, guard=guard, trace=trace
             )
@@ -262,10 +262,6 @@
 
         return await self._keyed.run_forwarded(message, contract, send_locally)
 
-    def _make_guard(self) -> SendGuard:
-        allow_resend = "double-dispatch" in self._faults
-        return SendGuard(self._invariants, allow_resend=allow_resend)
-
     def _contract(self, name: str) -> Contract:
         config = self._config()
         contract = config.contracts.get(name)
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -8,7 +8,7 @@
 from crocusward.config import ServingMode
 from crocusward.dispatch import AttemptRunner, AttemptTrace
 from crocusward.errors import Outcome, Refusal
-from crocusward.invariants import Invariants
+from crocusward.invariants import InvariantName, Invariants
 from crocusward.ledger import Ledger, SendGuard
 from crocusward.limits import RetryBudget
 from crocusward.model import Backend, Call, Contract
@@ -204,6 +204,31 @@
         self.retry_budget = RetryBudget()
 
 
+class RuntimeCheckTest(AttemptCase):
+    """Guards against checks that count a violation and let it happen."""
+
+    async def lose(self, fault):
+        """Lose the first exchange under an injected fault."""
+        guard = SendGuard(self.invariants, allow_resend=True)
+        async with (
+            ScriptedServer(["close"]) as first,
+            ScriptedServer([answer(b"ok", OWN)]) as second,
+        ):
+            runner = self.make_runner([first, second], faults=frozenset({fault}))
+            refusal = await self.refused(runner, guard=guard)
+        self.assertEqual((len(first.requests), second.requests), (1, []))
+        self.assertEqual(refusal.code, "backend_lost")
+        self.assertIs(refusal.outcome, Outcome.UNKNOWN)
+
+    async def test_injected_retry_is_recorded_and_not_sent(self):
+        await self.lose("double-dispatch")
+        self.assertEqual(self.invariants.violations[InvariantName.AT_MOST_ONCE], 1)
+
+    async def test_injected_not_run_is_recorded_and_corrected(self):
+        await self.lose("false-not-run")
+        self.assertEqual(self.invariants.violations[InvariantName.NOT_RUN], 1)
+
+
 class ProbeTest(AttemptCase):
     """Guards against probes that read the answer to a request."""
 
