Own interface: let a refused connection not clear an earlier send

Each attempt that wrote nothing told the send guard that the last send had not run, also if that was another attempt. No present path reaches this, since a non-idempotent request ends with the first attempt that may have run; the guard is there for the case that one does. The guard is now cleared only by the attempt that set it, and a refusal while it is set has outcome unknown.

test_refused_connection_does_not_clear_an_earlier_send failed before (guard cleared, not-run).

--- a/src/crocusward/dispatch/_attempts.py
+++ b/src/crocusward/dispatch/_attempts.py
@@ -390,13 +390,14 @@
         return in_time and self._retries.try_spend(call.depth)
 
     def _record_not_run(self, state: _RequestState) -> None:
-        state.is_written = False
-        if state.guard is not None:
+        if state.guard is not None and state.is_written and not state.may_have_run:
             state.guard.mark_not_sent()
+        state.is_written = False
 
     def _correct_outcome(self, refusal: Refusal, state: _RequestState) -> Refusal:
         """Return the refusal with an outcome that covers all attempts."""
-        is_in_doubt = state.may_have_run or state.is_written
+        is_guarded = state.guard is not None and state.guard.sent
+        is_in_doubt = state.may_have_run or state.is_written or is_guarded
         if state.may_have_run and "false-not-run" not in self._faults:
             _mark_unknown(refusal)
         if not self._invariants.check(
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -224,6 +224,16 @@
         await self.lose("double-dispatch")
         self.assertEqual(self.invariants.violations[InvariantName.AT_MOST_ONCE], 1)
 
+    async def test_refused_connection_does_not_clear_an_earlier_send(self):
+        self.retry_budget = RetryBudget(share=-1.0)  # allows no second attempt
+        async with ScriptedServer([answer(b"ok", OWN)]) as server:
+            runner = self.make_runner([server])
+        self.guard.mark_sent()
+        refusal = await self.refused(runner)
+        self.assertEqual(refusal.code, "no_backend")
+        self.assertIs(refusal.outcome, Outcome.UNKNOWN)
+        self.assertTrue(self.guard.sent)
+
     async def test_injected_not_run_is_recorded_and_corrected(self):
         await self.lose("false-not-run")
         self.assertEqual(self.invariants.violations[InvariantName.NOT_RUN], 1)
