Test daemons in front of servers that send refusals twice

The backend server stand-in can refuse probes or requests twice; the copy comes where the next answer on the connection is expected.

--- a/src/crocusward/devtools/standins/_backend.py
+++ b/src/crocusward/devtools/standins/_backend.py
@@ -14,10 +14,11 @@
     Execution,
     ExecutionLog,
 )
-from ._http import Connection, Listener, StandinRequest
+from ._http import Connection, Listener, StandinRequest, encode_answer
 
 LOAD_PATH = "/-/load"
 MAX_ANSWER_BYTES = 1 << 20
+SHED_LINE = b"X-Backend-Shed: 1\r\n"
 
 
 class Job:
@@ -44,6 +45,12 @@
         behaviour: How it behaves.
         rng: Source of service times and boot ids.
         log: Receives each execution.
+
+    Attributes:
+        repeated: What it refuses twice: "", "probe" or "request". The copy comes where
+            the next answer on the connection is expected.
+        repeated_share: Share of these that it refuses.
+        names_requests: Whether its answers name their requests.
     """
 
     def __init__(
@@ -62,12 +69,16 @@
         self.failing = False
         self.draining = False
         self.refusing = False
+        self.repeated = ""
+        self.repeated_share = 0.0
+        self.names_requests = True
         self.boot = ""
         self.max_cold_in_flight = 0
         self._rng = rng
         self._mu = math.log(behaviour.mean_s) - behaviour.spread**2 / 2
         self._queue: deque[Job] = deque()
         self._running: set[Job] = set()
+        self._copies: dict[Connection, bytes] = {}
         self._cold_until_s = 0.0
         self._reported = 0
         self._reported_s = -math.inf
@@ -114,7 +125,8 @@
         self._cold_until_s = self._now() + down_s + self.behaviour.cold_s
 
     def revive(self) -> None:
-        """End draining and failing."""
+        """End draining, failing and repeated refusals."""
+        self.repeated = ""
         self.draining = self.refusing = self.failing = False
 
     def on_connect(self, conn: Connection) -> bool:
@@ -129,6 +141,7 @@
     def on_close(self, conn: Connection) -> None:
         """Cancel the request of a closed connection."""
         self.listener.conns.discard(conn)
+        self._copies.pop(conn, None)
         job = conn.job
         if not isinstance(job, Job):
             return
@@ -140,7 +153,10 @@
 
     def on_request(self, conn: Connection, req: StandinRequest) -> None:
         """Refuse, shed, queue or run a request."""
-        if self.refusing:
+        conn.write(self._copies.pop(conn, b""))
+        if self._is_refused_twice(req):
+            self._refuse_twice(conn, req)
+        elif self.refusing:
             self.counts["refused"] += 1
             conn.respond(503, b"", self._headers(req))
         elif self.failing:
@@ -243,14 +259,26 @@
 
     def _shed(self, conn: Connection, req: StandinRequest) -> None:
         self.counts["shed"] += 1
-        conn.respond(503, b"", self._headers(req) + b"X-Backend-Shed: 1\r\n")
+        conn.respond(503, b"", self._headers(req) + SHED_LINE)
+
+    def _is_refused_twice(self, req: StandinRequest) -> bool:
+        kind = "probe" if req.path == LOAD_PATH else "request"
+        return kind == self.repeated and self._rng.random() < self.repeated_share
+
+    def _refuse_twice(self, conn: Connection, req: StandinRequest) -> None:
+        self.counts["refused_twice"] += 1
+        headers = self._headers(req) + SHED_LINE
+        self._copies[conn] = encode_answer(503, b"", headers)
+        conn.respond(503, b"", headers)
 
     def _headers(self, req: StandinRequest) -> bytes:
-        lines = b"X-Backend-Load: %d\r\nX-Backend-Boot: %s\r\nX-Request-Id: %s\r\n" % (
+        lines = b"X-Backend-Load: %d\r\nX-Backend-Boot: %s\r\n" % (
             self.in_flight,
             self.boot.encode(),
-            req.headers.get(b"x-request-id", b""),
         )
+        request_id = req.headers.get(b"x-request-id")
+        if self.names_requests and request_id:
+            lines += b"X-Request-Id: %s\r\n" % request_id
         return lines + b"X-Backend-Draining: 1\r\n" if self.draining else lines
 
     def _answer(self, req: StandinRequest) -> bytes:
--- a/src/crocusward/devtools/standins/_http.py
+++ b/src/crocusward/devtools/standins/_http.py
@@ -57,6 +57,13 @@
         return values[0] if values else default
 
 
+def encode_answer(status: int, body: bytes, headers: bytes) -> bytes:
+    """Return the bytes of an answer; each header line ends in CRLF."""
+    head = b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n%s\r\n"
+    reason = REASONS.get(status, b"Status")
+    return head % (status, reason, len(body), headers) + body
+
+
 class StandinApp(Protocol):
     """What a stand-in implements."""
 
@@ -174,11 +181,12 @@
         """
         self.busy = False
         self.job = None
-        if self.closed or self.transport is None:
-            return
-        head = b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n%s\r\n"
-        reason = REASONS.get(status, b"Status")
-        self.transport.write(head % (status, reason, len(body), headers) + body)
+        self.write(encode_answer(status, body, headers))
+
+    def write(self, data: bytes) -> None:
+        """Write bytes, unless the connection is closed."""
+        if data and not self.closed and self.transport is not None:
+            self.transport.write(data)
 
     def respond_json(self, document: object, status: int = 200) -> None:
         """Answer with JSON."""
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -74,10 +74,8 @@
         self.addCleanup(self.pool.close)
         await self.start_standins()
         self.daemons = []
-        for entry in self.plan.entries:
-            settings = load_settings(self.plan.directory / f"{entry.name}.toml")
-            self.daemons.append(DaemonProcess(settings, start_logs(self.log)))
-        self.running = [loop.create_task(d.run()) for d in self.daemons]
+        self.running = []
+        await self.start_daemons()
         await self.configure()
 
     def prepare(self, folder):
@@ -110,6 +108,17 @@
             await standin.start()
             self.addCleanup(standin.stop)
 
+    async def start_daemons(self):
+        for entry in self.plan.entries:
+            self.start_here(entry)
+
+    def start_here(self, entry):
+        """Start the daemon of an entry host in this process."""
+        settings = load_settings(self.plan.directory / f"{entry.name}.toml")
+        daemon = DaemonProcess(settings, start_logs(self.log))
+        self.daemons.append(daemon)
+        self.running.append(asyncio.get_running_loop().create_task(daemon.run()))
+
     async def configure(self):
         config = self.daemons[0]._node.config
         for number in range(START_TRIES):
