--- a/src/crocusward/dispatch/_attempts.py
+++ b/src/crocusward/dispatch/_attempts.py
@@ -21,6 +21,8 @@
 
 CODE_WITHDRAWN = "withdrawn"
 CODE_UNCONFIRMED = "config_unconfirmed"
+CODE_UNNAMED_REFUSAL = "unnamed_refusal"
+UNNAMED_REFUSAL_REASON = "the backend server refused without naming the request"
 MAX_WITHDRAWAL_COUNT = 3
 ESTIMATED_HEADER_BYTES = 1024  # headers of request and answer; for the link budget
 ESTIMATED_ANSWER_BYTES = 4096
@@ -155,6 +157,7 @@
     ) -> Reply:
         route = self._route_request(call, contract, idempotent, state)
         while True:
+            self._check_may_send(idempotent, state)
             reservation = await self._acquire(route, state.trace)
             answer = await self._run_attempt(
                 call, contract, idempotent, reservation, state
@@ -162,6 +165,15 @@
             if answer is not None:
                 return self._reply(call, answer, reservation)
 
+    def _check_may_send(self, idempotent: bool, state: _RequestState) -> None:
+        """Refuse to send a request again that may have run."""
+        if not self._invariants.check(
+            InvariantName.AT_MOST_ONCE,
+            idempotent or not state.may_have_run,
+            "a request that may have run would be sent again",
+        ):
+            raise Refusal(RefusalCode.BACKEND_LOST, "an earlier attempt may have run")
+
     def _reply(
         self, call: Call, answer: BackendAnswer, reservation: Reservation
     ) -> Reply:
@@ -240,7 +252,13 @@
         )
         if not answer.shed:
             return answer
-        self._after_shed(call, reservation, state)
+        if answer.request_id == call.request_id:
+            self._after_shed(call, reservation, state)
+            return None
+        # It may be the copy of a refusal of a probe or of an earlier request.
+        state.may_have_run = True
+        lost = ExchangeLostError(UNNAMED_REFUSAL_REASON, code=CODE_UNNAMED_REFUSAL)
+        self._after_lost(call, idempotent, reservation, lost, state)
         return None
 
     async def _exchange(
@@ -362,7 +380,9 @@
             return
         raise Refusal(
             RefusalCode.BACKEND_LOST,
-            "the connection to the backend server broke before the whole answer",
+            UNNAMED_REFUSAL_REASON
+            if exc.code == CODE_UNNAMED_REFUSAL
+            else "the connection to the backend server broke before the whole answer",
         )
 
     def _may_retry(self, call: Call) -> bool:
@@ -370,24 +390,30 @@
         return in_time and self._retries.try_spend(call.depth)
 
     def _record_not_run(self, state: _RequestState) -> None:
-        state.is_written = False
-        if state.guard is not None:
+        if state.guard is not None and state.is_written and not state.may_have_run:
             state.guard.mark_not_sent()
+        state.is_written = False
 
     def _correct_outcome(self, refusal: Refusal, state: _RequestState) -> Refusal:
         """Return the refusal with an outcome that covers all attempts."""
-        may_have_run = state.may_have_run
-        if may_have_run and "false-not-run" not in self._faults:
-            refusal.outcome = Outcome.UNKNOWN
-            refusal.attempt = Attempt.MAYBE_SENT
-        self._invariants.check(
+        is_guarded = state.guard is not None and state.guard.sent
+        is_in_doubt = state.may_have_run or state.is_written or is_guarded
+        if state.may_have_run and "false-not-run" not in self._faults:
+            _mark_unknown(refusal)
+        if not self._invariants.check(
             InvariantName.NOT_RUN,
-            not may_have_run or refusal.outcome is Outcome.UNKNOWN,
-            "a refusal says not-run for a request that was written",
-        )
+            not is_in_doubt or refusal.outcome is Outcome.UNKNOWN,
+            "a refusal would say not-run for a request that was written",
+        ):
+            _mark_unknown(refusal)
         return refusal
 
 
+def _mark_unknown(refusal: Refusal) -> None:
+    refusal.outcome = Outcome.UNKNOWN
+    refusal.attempt = Attempt.MAYBE_SENT
+
+
 def _matches_request(call: Call, answer: BackendAnswer) -> bool:
     return answer.request_id in ("", call.request_id)
 
--- a/src/crocusward/relay/_exchange.py
+++ b/src/crocusward/relay/_exchange.py
@@ -29,6 +29,7 @@
     ConnectionHistory,
     HttpAnswer,
     HttpPool,
+    find_values,
     parse_digits,
     parse_rate_limit,
     parse_retry_after,
@@ -297,7 +298,7 @@
 
 
 def _find_ids(headers: Headers) -> set[bytes]:
-    return {value for name, value in headers if name == REQUEST_ID_HEADER and value}
+    return find_values(headers, REQUEST_ID_HEADER) - {b""}
 
 
 def match_answer(
--- a/src/crocusward/upstream/_client.py
+++ b/src/crocusward/upstream/_client.py
@@ -10,6 +10,7 @@
 from ._headers import (
     HOP_BY_HOP_NAMES,
     HeaderNames,
+    find_values,
     parse_rate_limit,
     select_end_to_end_headers,
 )
@@ -20,7 +21,9 @@
 MAX_PROBE_BYTES = 4096  # a load report has three short fields
 MAX_BOOT_CHARS = 64
 MAX_LOAD_DIGITS = 6  # ample: a backend server runs two requests at a time
+_OK = 200
 _NOT_MODIFIED = 304
+_UNAVAILABLE = 503
 
 
 class HttpUpstream:
@@ -100,6 +103,7 @@
             limit_bytes=req.answer_bytes,
             check=lambda answer: self._check_request_id(answer, request_id),
             matches_request=self._match_answer,
+            may_reuse=lambda answer: not self._is_shed(answer),
             before_write=req.before_write,
         )
         return self._build_backend_answer(answer, req)
@@ -123,9 +127,11 @@
             PROBE_PATH,
             timeout_s=timeout_s,
             limit_bytes=MAX_PROBE_BYTES,
+            matches_request=self._match_probe_answer,
+            may_reuse=lambda answer: answer.status == _OK,
         )
         result = BackendAnswer(answer.status, [], b"")
-        if answer.status == 200:
+        if answer.status == _OK:
             result = _parse_probe(answer)
         self._read_rate_limit(answer, result)
         return result
@@ -137,18 +143,36 @@
 
         Servers need not name requests, but one that does so names them all.
         """
-        if any(name == self._names.request_id for name, _ in headers):
+        if self._find_request_ids(headers):
             return AnswerMatch.OWN
         return AnswerMatch.OTHER if history.has_named_answer else AnswerMatch.UNNAMED
 
+    def _match_probe_answer(
+        self, headers: Headers, history: ConnectionHistory
+    ) -> AnswerMatch:
+        """Return whether an answer may be that to a probe, which has no id."""
+        is_named = bool(self._find_request_ids(headers))
+        return AnswerMatch.OTHER if is_named else AnswerMatch.UNNAMED
+
     def _check_request_id(self, answer: HttpAnswer, request_id: bytes) -> None:
-        name = self._names.request_id
-        for header in answer.headers:
-            if header[0] == name and header[1] != request_id:
-                self.mismatched_answers += 1
-                raise ExchangeLostError(
-                    "the answer names another request", code="foreign_answer"
-                )
+        if self._find_request_ids(answer.headers) - {request_id}:
+            self.mismatched_answers += 1
+            raise ExchangeLostError(
+                "the answer names another request", code="foreign_answer"
+            )
+
+    def _is_shed(self, answer: HttpAnswer) -> bool:
+        """Return whether an answer says that the server did not run the request.
+
+        Its connection is not reused: a second copy could be taken for the answer to a
+        later request, even by its id, since callers may use an id again.
+        """
+        values = find_values(answer.headers, self._names.shed)
+        return answer.status == _UNAVAILABLE and values == {b"1"}
+
+    def _find_request_ids(self, headers: Headers) -> set[bytes]:
+        """Return the requests that an answer names; an empty id names none."""
+        return find_values(headers, self._names.request_id) - {b""}
 
     def _build_backend_answer(
         self, answer: HttpAnswer, req: UpstreamRequest
@@ -171,15 +195,14 @@
 
     def _parse_backend_headers(self, answer: HttpAnswer, result: BackendAnswer) -> None:
         names = self._names
+        result.shed = self._is_shed(answer)
         for name, value in answer.headers:
-            if name == names.request_id:
+            if name == names.request_id and value:
                 result.request_id = value.decode("latin-1")
             elif name == names.load:
                 result.load = _parse_load(value)
             elif name == names.boot:
                 result.boot = value[:MAX_BOOT_CHARS].decode("latin-1")
-            elif name == names.shed:
-                result.shed = value == b"1" and answer.status == 503
             elif name == names.draining:
                 result.draining = value == b"1"
 
