Play servers that refuse twice in the fault soak

No fault of the soak had servers that refuse probes or requests twice, so it could not find requests that run twice after the copy of a refusal. The fault repeated_refusals lets a third of the servers, then all, refuse with 503, 429 or 421, without an id or with that of an earlier request; 421 also comes without the not-run header. The last line of a run counts such answers.

--- a/src/crocusward/devtools/fault_soak/__main__.py
+++ b/src/crocusward/devtools/fault_soak/__main__.py
@@ -49,6 +49,7 @@
                 "served": served,
                 "runs": len(world.promises.runs),
                 "faults": len(world.played),
+                "odd_answers": world.odd_answers,
                 "limits": len(world.promises.limits),
                 "broken": len(world.findings),
             }
--- a/src/crocusward/devtools/fault_soak/_faults.py
+++ b/src/crocusward/devtools/fault_soak/_faults.py
@@ -9,6 +9,7 @@
 from ...registry import Registry
 from ..standins._flood import FLOODS
 from ._checks import APPLY_S, STABLE_S, FloodSpan
+from ._targets import NOT_RUN_LINE
 
 if TYPE_CHECKING:
     from ._world import World
@@ -24,6 +25,7 @@
 READER_PAUSE_S = 3.5  # until the hosts are in touch again
 READ_S = 0.5  # until daemons have read a change, in calm
 COLD_S = 3.0  # of a server that has just started
+REFUSAL_STATUSES = (503, 429, 421)
 
 
 @FAULTS.register("daemon_kill")
@@ -141,6 +143,28 @@
             target.mode = ""
 
 
+@FAULTS.register("repeated_refusals")
+async def repeat_refusals(world: "World", rng: random.Random, for_s: float) -> None:
+    """Let some servers refuse probes or requests twice, and then all of them.
+
+    Status 421 comes with and without the not-run header, the others always with it.
+    """
+    some = rng.sample(world.targets, len(world.targets) // 3)
+    for chosen in (some, list(world.targets)):
+        with world.unstable():
+            for target in chosen:
+                status = rng.choice(REFUSAL_STATUSES)
+                is_marked = status != 421 or rng.random() < 0.5
+                target.refusal_head = b"HTTP/1.1 %d Refused\r\n" % status
+                target.refusal_head += NOT_RUN_LINE if is_marked else b""
+                target.names_request = rng.random() < 0.3
+                target.repeated_share = rng.choice([0.3, 0.3, 1.0])
+                target.repeated = rng.choice(["probe", "probe", "request"])
+            await world.sleep(for_s)
+            for target in chosen:
+                target.repeated = ""
+
+
 @FAULTS.register("server_limits")
 async def limit_rate(world: "World", rng: random.Random, for_s: float) -> None:
     """Let some servers name rate limits that change, and values that are not valid."""
--- a/src/crocusward/devtools/fault_soak/_targets.py
+++ b/src/crocusward/devtools/fault_soak/_targets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Callable, Collection
 
 from ...model import Record
@@ -15,6 +16,7 @@
 MAX_FLOOD_BUFFER_BYTES = 262_144
 FLOOD_PERIOD_S = 0.005
 MAX_FLOOD_WRITES = 4  # in one period
+NOT_RUN_LINE = b"Crocusward-Not-Executed: 1\r\n"
 QUEUE = 4  # requests that wait beyond the slots
 SLOWDOWNS_PERCENT = (100, 700)  # of a machine that is shared with others
 
@@ -63,10 +65,14 @@
         limits: Values of the rate limit that it names in each answer, not all valid.
         is_leaving: Whether it says in each answer that it leaves.
         pause_s: Retry-After of its refusals, 0.0 without one.
-        repeated: What it refuses twice, without an id: "", "probe" or "request". The
-            copy comes where the next answer on the connection is expected.
+        repeated: What it refuses twice: "", "probe" or "request". The copy comes
+            where the next answer on the connection is expected.
+        repeated_share: Share of the probes or requests on which it does.
+        names_request: Whether these refusals, and so their copies, name the last
+            request on the connection; without an id otherwise.
         refusal_head: Status line and not-run header of these refusals.
         refusals_sent: Number of these refusals, without the copies.
+        odd_answers: Number of odd answers of some or all servers, by kind.
         deadly: Paths whose requests end the server while they run.
         on_crash: Called with the server and the path that ended it.
         listener: Where it listens.
@@ -93,8 +99,11 @@
         self.is_leaving = False
         self.pause_s = 0.0
         self.repeated = ""
+        self.repeated_share = 1.0
+        self.names_request = False
         self.refusal_head = b""
         self.refusals_sent = 0
+        self.odd_answers: Counter[str] = Counter()
         self.flood = ""
         self.work_s = 0.0
         self.deadly: Collection[str] = ()
@@ -108,6 +117,7 @@
         self._busy = 0
         self._waiting: list[tuple[Connection, StandinRequest]] = []
         self._copies: dict[Connection, bytes] = {}
+        self._last_ids: dict[Connection, bytes] = {}
 
     def on_connect(self, conn: Connection) -> bool:
         """Accept a connection."""
@@ -118,6 +128,7 @@
         """Forget a connection."""
         self.listener.conns.discard(conn)
         self._copies.pop(conn, None)
+        self._last_ids.pop(conn, None)
 
     def on_request(self, conn: Connection, req: StandinRequest) -> None:
         """Run a request, or misbehave."""
@@ -125,12 +136,14 @@
         copy = self._copies.pop(conn, b"")
         if copy:
             self._write(conn, copy)
-        head = self._load_line(self._busy) + self._limit_lines()
         is_probe = req.path == "/health"
+        if not is_probe:
+            self._last_ids[conn] = req.headers.get(b"crocusward-request-id", b"")
         if self.repeated == ("probe" if is_probe else "request"):
-            if self._rng.random() < self.share:
-                self._refuse_twice(conn, head)
+            if self._rng.random() < self.repeated_share:
+                self._refuse_twice(conn)
                 return
+        head = self._load_line(self._busy) + self._limit_lines()
         if is_probe:
             head += b"Crocusward-Instance-Id: %s\r\n" % self.id.encode()
             conn.respond(200, b"", head)
@@ -139,12 +152,12 @@
         own = b"Crocusward-Request-Id: %s\r\n" % id
         self._notices.arrivals.append((self.id, id.decode(), now_s))
         if req.headers.get(b"crocusward-expected-instance", b"").decode() != self.id:
-            conn.respond(421, b"", own + b"Crocusward-Not-Executed: 1\r\n")
+            conn.respond(421, b"", own + NOT_RUN_LINE)
             return
         mode = self.mode if self._rng.random() < self.share else ""
         is_full = self._busy + len(self._waiting) >= self.slots + QUEUE
         if mode == "shed" or is_full:
-            own += b"Crocusward-Not-Executed: 1\r\n" + self._limit_lines()
+            own += NOT_RUN_LINE + self._limit_lines()
             conn.respond(503, b"", own + self._notice_lines(id.decode(), conn))
             return
         conn.job = mode
@@ -153,10 +166,14 @@
         else:
             self._start(conn, req)
 
-    def _refuse_twice(self, conn: Connection, head: bytes) -> None:
-        refusal = self.refusal_head + b"Content-Length: 0\r\n" + head + b"\r\n"
+    def _refuse_twice(self, conn: Connection) -> None:
+        lines = self._load_line(self._busy) + self._limit_lines()
+        if self.names_request and conn in self._last_ids:
+            lines += b"Crocusward-Request-Id: %s\r\n" % self._last_ids[conn]
+        refusal = self.refusal_head + b"Content-Length: 0\r\n" + lines + b"\r\n"
         conn.busy = False
         self.refusals_sent += 1
+        self.odd_answers[f"repeated_{self.repeated}"] += 1
         self._write(conn, refusal)
         self._copies[conn] = refusal
 
--- a/src/crocusward/devtools/fault_soak/_world.py
+++ b/src/crocusward/devtools/fault_soak/_world.py
@@ -6,6 +6,7 @@
 import random
 import socket
 import tempfile
+from collections import Counter
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -64,6 +65,7 @@
         self.store = RowsStandin()
         self.store_proxy = FaultProxy(("127.0.0.1", 0))
         self.targets: list[Target] = []
+        self.odd_answers: Counter[str] = Counter()
         self.proxies: dict[str, FaultProxy] = {}
         self.daemons: list[Daemon] = []
         self.played: list[str] = []
@@ -264,6 +266,7 @@
             self.promises.notices,
             self.rng,
         )
+        target.odd_answers = self.odd_answers
         target.deadly = self.deadly
         target.on_crash = self._on_crash
         await target.listener.open()
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -39,7 +39,7 @@
             parts = (f"i-{index}", "svc", "east-a", self.runs, [], Notices(), rng)
             target = Target(*parts)
             target.repeated, target.refusal_head = repeated, refusal_head
-            target.share = share
+            target.repeated_share = share
             self.targets.append(target)
 
     async def start_servers(self):
