Play answers that hosts might take for the word of no run

The fault doubtful_answers gives half of the servers, or all, one of five new modes: interim answers that carry the not-run header; an answer before a long body is read; a refusal after the run, without the not-run header or without an id; a reset soon after the answer; status 408 on an idle connection or beside the next request. Callers send bodies of 84 kB meanwhile. Requests that run although an answer is doubtful count as runs, so at_most_once and not_run find a host that believes it.

The proxy of the soak ended a connection in order when the other side reset it, so no reset of a server reached a daemon. It passes resets on now; test_reset_by_a_server_reaches_the_daemon failed before.

--- a/src/crocusward/devtools/fault_soak/_callers.py
+++ b/src/crocusward/devtools/fault_soak/_callers.py
@@ -10,6 +10,8 @@
 
 LONG_LIMIT_S = 5.0  # of requests that wait for a slot
 ANSWER_S = 2.5  # beyond the time limit of every route
+LONG_BODY_PREFIX = "/order/long-body/"
+LONG_BODY_FACTOR = 12_000  # times 7 bytes
 PROMISES = frozenset({408, 421, 429, 503})  # statuses that say "not run"
 
 
@@ -146,6 +148,8 @@
         item = Asked(f"q{next(self._ids)}", path, self._daemon.name, loop.time())
         item.kept = self._served > 0
         body = b"" if method == "GET" else b"payload"
+        if path.startswith(LONG_BODY_PREFIX):
+            body *= LONG_BODY_FACTOR
         head = (
             f"{method} {path} HTTP/1.1\r\nHost: api.example\r\n"
             f"Crocusward-Request-Id: {item.id}\r\nCrocusward-Deadline-Ms: 1500\r\n"
--- a/src/crocusward/devtools/fault_soak/_faults.py
+++ b/src/crocusward/devtools/fault_soak/_faults.py
@@ -8,8 +8,9 @@
 
 from ...registry import Registry
 from ..standins._flood import FLOODS
+from ._callers import LONG_BODY_PREFIX
 from ._checks import APPLY_S, STABLE_S, FloodSpan
-from ._targets import NOT_RUN_LINE
+from ._targets import DOUBTFUL_MODES, NOT_RUN_LINE
 
 if TYPE_CHECKING:
     from ._world import World
@@ -25,6 +26,7 @@
 READER_PAUSE_S = 3.5  # until the hosts are in touch again
 READ_S = 0.5  # until daemons have read a change, in calm
 COLD_S = 3.0  # of a server that has just started
+LONG_REQUEST = ("POST", f"{LONG_BODY_PREFIX}x")
 REFUSAL_STATUSES = (503, 429, 421)
 
 
@@ -165,6 +167,25 @@
                 target.repeated = ""
 
 
+@FAULTS.register("doubtful_answers")
+async def answer_doubtfully(world: "World", rng: random.Random, for_s: float) -> None:
+    """Let servers answer so that a host might take a run for none.
+
+    Callers send long bodies as well, which a server may answer before it has read them.
+    """
+    total = len(world.targets)
+    chosen = rng.sample(world.targets, rng.choice([total // 2, total]))
+    world.paths.append(LONG_REQUEST)
+    with world.unstable():
+        for target in chosen:
+            target.mode = rng.choice(sorted(DOUBTFUL_MODES))
+            target.share = rng.choice([0.3, 1.0])
+        await world.sleep(for_s + 1.0)
+        for target in chosen:
+            target.mode = ""
+    world.paths.remove(LONG_REQUEST)
+
+
 @FAULTS.register("server_limits")
 async def limit_rate(world: "World", rng: random.Random, for_s: float) -> None:
     """Let some servers name rate limits that change, and values that are not valid."""
--- a/src/crocusward/devtools/fault_soak/_proxy.py
+++ b/src/crocusward/devtools/fault_soak/_proxy.py
@@ -1,9 +1,11 @@
 """A TCP proxy on loopback that misbehaves on command."""
 
 import asyncio
-import contextlib
+import socket
+import struct
 
 READ_BYTES = 65_536
+NO_LINGER = struct.pack("ii", 1, 0)  # a close sends a reset
 
 
 class FaultProxy:
@@ -79,7 +81,7 @@
         near: asyncio.StreamWriter,
         is_back: bool,
     ) -> None:
-        with contextlib.suppress(OSError):
+        try:
             while data := await reader.read(READ_BYTES):
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
@@ -87,6 +89,17 @@
                     continue
                 writer.write(data)
                 await writer.drain()
+        except ConnectionResetError:
+            self._reset_onward(writer)
+        except OSError:
+            pass  # the connection is closed below
         writer.close()
         self._writers.discard(writer)
         self._mute.discard(writer)
+
+    def _reset_onward(self, writer: asyncio.StreamWriter) -> None:
+        """Pass a reset on; an orderly close would hide it from the other side."""
+        sock = writer.get_extra_info("socket")
+        if sock is not None and not writer.is_closing():
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        writer.transport.abort()
--- a/src/crocusward/devtools/fault_soak/_targets.py
+++ b/src/crocusward/devtools/fault_soak/_targets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import socket
 from collections import Counter
 from collections.abc import Callable, Collection
 
@@ -9,6 +10,7 @@
 from ..standins._flood import FLOODS
 from ..standins._http import Connection, Listener, StandinRequest
 from ._notices import Notices, Pause
+from ._proxy import NO_LINGER
 
 LONG_PREFIX = "/look/long"
 LONG_ANSWER_BYTES = 30_000
@@ -18,9 +20,23 @@
 MAX_FLOOD_WRITES = 4  # in one period
 NOT_RUN_LINE = b"Crocusward-Not-Executed: 1\r\n"
 QUEUE = 4  # requests that wait beyond the slots
+LONG_BODY_BYTES = 10_000  # from which a body takes the server some time
+DOUBTFUL_STATUSES = (503, 429, 421, 408)  # with them a refusal says "not run"
+IDLE_CLOSE_S = 0.1  # at most, until an idle connection gets status 408
+RESET_S = 0.03  # at most, until an answered connection is reset
 SLOWDOWNS_PERCENT = (100, 700)  # of a machine that is shared with others
 
 
+# Ways in which a host might take a request that runs for one that does not.
+DOUBTFUL_MODES = {
+    "interim": "sends 100, and 103 with the not-run header, before a refusal",
+    "early": "answers before it has read a long body, and reads on",
+    "late_refusal": "refuses after the run, without not-run header or without an id",
+    "answer_reset": "resets the connection soon after the answer",
+    "idle_408": "sends status 408 on an idle connection, also as a request arrives",
+}
+
+
 class Run(Record):
     """One request that a server received.
 
@@ -60,7 +76,8 @@
 
     Attributes:
         id: Id of this run of the server.
-        mode: How it misbehaves: "", "hang", "reset", "lose", "extra", "cut", "shed".
+        mode: How it misbehaves: "", "hang", "reset", "lose", "extra", "cut", "shed",
+            "flood", or in one of the ways of ``DOUBTFUL_MODES``.
         share: Share of the requests on which it does.
         limits: Values of the rate limit that it names in each answer, not all valid.
         is_leaving: Whether it says in each answer that it leaves.
@@ -110,6 +127,7 @@
         self.on_crash: Callable[[Target, str], object] | None = None
         self.slots = slots
         self.listener = Listener(self, "127.0.0.1", 0)
+        self.listener.connection_class = _HeadConnection
         self._runs = runs
         self._namings_s = namings_s
         self._notices = notices
@@ -118,6 +136,7 @@
         self._waiting: list[tuple[Connection, StandinRequest]] = []
         self._copies: dict[Connection, bytes] = {}
         self._last_ids: dict[Connection, bytes] = {}
+        self._answered_early: set[Connection] = set()
 
     def on_connect(self, conn: Connection) -> bool:
         """Accept a connection."""
@@ -129,10 +148,37 @@
         self.listener.conns.discard(conn)
         self._copies.pop(conn, None)
         self._last_ids.pop(conn, None)
+        self._answered_early.discard(conn)
+
+    def on_head(self, conn: Connection, path: str, headers: dict[bytes, bytes]) -> None:
+        """Answer before the body of a request is read, in mode "early".
+
+        A request that is not truly refused runs from its head on.
+        """
+        is_long = int(headers.get(b"content-length", b"0")) >= LONG_BODY_BYTES
+        is_own = headers.get(b"crocusward-expected-instance") == self.id.encode()
+        if self.mode != "early" or not is_long or not is_own or conn.busy:
+            return
+        if self._rng.random() >= self.share:
+            return
+        self._answered_early.add(conn)
+        self.odd_answers["early"] += 1
+        id = headers[b"crocusward-request-id"].decode()
+        now_s = asyncio.get_running_loop().time()
+        self._notices.arrivals.append((self.id, id, now_s))
+        if self._rng.random() < 0.5:
+            self._write(conn, self._refusal(503, id, is_marked=True))
+            return
+        self._note_run(conn, id, path)
+        self._write(conn, self._doubtful_refusal(id))
 
     def on_request(self, conn: Connection, req: StandinRequest) -> None:
         """Run a request, or misbehave."""
         now_s = asyncio.get_running_loop().time()
+        if conn in self._answered_early:
+            self._answered_early.discard(conn)
+            conn.busy = False
+            return
         copy = self._copies.pop(conn, b"")
         if copy:
             self._write(conn, copy)
@@ -160,6 +206,15 @@
             own += NOT_RUN_LINE + self._limit_lines()
             conn.respond(503, b"", own + self._notice_lines(id.decode(), conn))
             return
+        if mode == "interim":
+            self.odd_answers["interim"] += 1
+            lines = own + NOT_RUN_LINE
+            self._write(conn, b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._write(conn, b"HTTP/1.1 103 Early Hints\r\n%s\r\n" % lines)
+            if self._rng.random() < 0.5:
+                conn.respond(503, b"", lines + self._limit_lines())
+                return
+            mode = "late_refusal"
         conn.job = mode
         if self._busy >= self.slots:
             self._waiting.append((conn, req))
@@ -177,6 +232,19 @@
         self._write(conn, refusal)
         self._copies[conn] = refusal
 
+    def _refusal(self, status: int, id: str, *, is_marked: bool) -> bytes:
+        """Return a refusal; one without an id names no request."""
+        lines = b"Crocusward-Request-Id: %s\r\n" % id.encode() if id else b""
+        lines += NOT_RUN_LINE if is_marked else b""
+        head = b"HTTP/1.1 %d Refused\r\nContent-Length: 0\r\n" % status
+        return head + lines + self._limit_lines(is_noted=bool(id)) + b"\r\n"
+
+    def _doubtful_refusal(self, id: str) -> bytes:
+        """Return a refusal that lacks either the not-run header or the id."""
+        status = self._rng.choice(DOUBTFUL_STATUSES)
+        is_marked = self._rng.random() < 0.5
+        return self._refusal(status, "" if is_marked else id, is_marked=is_marked)
+
     def _load_line(self, running: int) -> bytes:
         slowdown = SLOWDOWNS_PERCENT[0]
         if self.repeated:
@@ -184,8 +252,8 @@
         counts = (running, len(self._waiting), self.slots, slowdown)
         return b"Crocusward-Server-Load: %d,%d,%d,%d\r\n" % counts
 
-    def _limit_lines(self) -> bytes:
-        if len(self.limits) == 1:
+    def _limit_lines(self, *, is_noted: bool = True) -> bytes:
+        if len(self.limits) == 1 and is_noted:
             self._namings_s.append(asyncio.get_running_loop().time())
         return b"".join(b"Server-Limit: %s\r\n" % x.encode() for x in self.limits)
 
@@ -206,24 +274,18 @@
         return b"Server-Leaving: 1\r\n"
 
     def _start(self, conn: Connection, req: StandinRequest) -> None:
-        host = _host_of(conn)
         id = req.headers[b"crocusward-request-id"].decode()
-        loop = asyncio.get_running_loop()
-        self._runs.append(
-            Run(
-                id,
-                host,
-                self.id,
-                self.service,
-                self.data_centre,
-                loop.time(),
-                req.path,
-            )
-        )
+        self._note_run(conn, id, req.path)
         self._busy += 1
+        loop = asyncio.get_running_loop()
         work_s = self.work_s or 0.02 + 0.06 * self._rng.random()
         loop.call_later(work_s, self._finish, conn, req, id)
 
+    def _note_run(self, conn: Connection, id: str, path: str) -> None:
+        now_s = asyncio.get_running_loop().time()
+        place = (self.id, self.service, self.data_centre)
+        self._runs.append(Run(id, _host_of(conn), *place, now_s, path))
+
     def _finish(self, conn: Connection, req: StandinRequest, id: str) -> None:
         if not self.listener.is_open:
             return  # it has crashed under another request
@@ -244,6 +306,11 @@
         if mode == "flood":
             self._begin_flood(conn, id)
             return
+        if mode == "late_refusal":
+            self.odd_answers["late_refusal"] += 1
+            conn.busy = False
+            self._write(conn, self._doubtful_refusal(id))
+            return
         body = f"{id} at {self.service}".encode()
         if req.path.startswith(LONG_PREFIX):
             body += b" " * LONG_ANSWER_BYTES
@@ -265,6 +332,29 @@
             asyncio.get_running_loop().call_later(
                 0.03 * self._rng.random(), self._write, conn, again
             )
+        elif mode == "answer_reset":
+            self.odd_answers["answer_reset"] += 1
+            delay_s = RESET_S * self._rng.random()
+            asyncio.get_running_loop().call_later(delay_s, _reset, conn)
+        elif mode == "idle_408":
+            self._time_out_idle(conn)
+
+    def _time_out_idle(self, conn: Connection) -> None:
+        """Close an idle connection with status 408, or send it beside a request."""
+        self.odd_answers["idle_408"] += 1
+        is_marked = self._rng.random() < 0.5
+        timed_out = self._refusal(408, "", is_marked=is_marked)
+        if self._rng.random() < 0.5:
+            self._copies[conn] = timed_out
+            return
+
+        def write() -> None:
+            if not conn.busy and not conn.closed:
+                self._write(conn, timed_out)
+                conn.close()
+
+        delay_s = IDLE_CLOSE_S * self._rng.random()
+        asyncio.get_running_loop().call_later(delay_s, write)
 
     def _begin_flood(self, conn: Connection, id: str) -> None:
         """Answer without end, in one of the ways of the stand-ins."""
@@ -287,6 +377,24 @@
             conn.transport.write(data)
 
 
+class _HeadConnection(Connection):
+    """Tells its server of the head of a request before the body is read."""
+
+    def on_headers_complete(self) -> None:
+        """Hand over the head of a request."""
+        assert isinstance(self.app, Target)
+        path = self._url.decode("latin-1").partition("?")[0]
+        self.app.on_head(self, path, self._headers)
+
+
+def _reset(conn: Connection) -> None:
+    """Reset a connection, also if all that it received has been read."""
+    if conn.transport is not None and not conn.closed:
+        sock = conn.transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        conn.abort()
+
+
 def _host_of(conn: Connection) -> str:
     """Return the IP address of the daemon at the other end."""
     peer = conn.transport.get_extra_info("peername") if conn.transport else None
--- a/src/crocusward/devtools/standins/_http.py
+++ b/src/crocusward/devtools/standins/_http.py
@@ -204,9 +204,18 @@
     Attributes:
         address: Loopback address.
         port: TCP port; 0 is replaced when it opens.
+        connection_class: Class of the accepted connections.
     """
 
-    __slots__ = ("app", "address", "port", "conns", "_server", "_task")
+    __slots__ = (
+        "app",
+        "address",
+        "port",
+        "conns",
+        "connection_class",
+        "_server",
+        "_task",
+    )
 
     def __init__(self, app: StandinApp, address: str, port: int) -> None:
         if not address.startswith("127."):
@@ -215,6 +224,7 @@
         self.address = address
         self.port = port
         self.conns: set[Connection] = set()
+        self.connection_class: type[Connection] = Connection
         self._server: asyncio.Server | None = None
         self._task: asyncio.Task[None] | None = None
 
@@ -229,7 +239,10 @@
             return
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: Connection(self.app), self.address, self.port, backlog=512
+            lambda: self.connection_class(self.app),
+            self.address,
+            self.port,
+            backlog=512,
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -1,6 +1,7 @@
 """The fault soak: a short run, its checks on planted faults, and seeds that failed."""
 
 import asyncio
+import socket
 import tempfile
 import unittest
 from pathlib import Path
@@ -13,6 +14,7 @@
     Span,
 )
 from crocusward.devtools.fault_soak._notices import Pause
+from crocusward.devtools.fault_soak._proxy import NO_LINGER, FaultProxy
 from crocusward.devtools.fault_soak._targets import Run
 from crocusward.devtools.fault_soak._world import World, run_soak
 
@@ -23,6 +25,7 @@
 COLD_SEED = 4
 READER_SEED = 7
 CRASH_SEED = 8
+DOUBT_SEED = 14
 RESTART_SEEDS = {
     10: "awaited_slots",
     11: "reader_restarts",
@@ -249,6 +252,26 @@
         self.assertEqual(len(networks), 2)
 
 
+class ProxyTest(unittest.IsolatedAsyncioTestCase):
+    async def test_reset_by_a_server_reaches_the_daemon(self):
+        """Guards against resets that arrive as an orderly close."""
+
+        async def answer_and_reset(reader, writer):
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+            writer.transport.abort()
+
+        server = await asyncio.start_server(answer_and_reset, "127.0.0.1", 0)
+        proxy = FaultProxy(("127.0.0.1", server.sockets[0].getsockname()[1]))
+        await proxy.start()
+        reader, writer = await asyncio.open_connection("127.0.0.1", proxy.port)
+        with self.assertRaises(ConnectionResetError):
+            await asyncio.wait_for(reader.read(), 1.0)
+        writer.transport.abort()
+        proxy.close()
+        server.close()
+
+
 class ShortRunTest(unittest.TestCase):
     def play(self, seed, duration_s, first=""):
         world = asyncio.run(
@@ -297,6 +320,11 @@
             with self.subTest(seed=seed, first=first):
                 self.play(seed, 2.0, first)
 
+    def test_real_daemons_take_no_run_for_none(self):
+        """Guards against answers that are taken for the word of no run."""
+        world = self.play(DOUBT_SEED, 1.0, "doubtful_answers")
+        self.assertGreater(world.odd_answers.total(), 0)
+
     def test_seeds_that_failed_before(self):
         """Guards against the return of failures that the soak has found."""
         for seed, cause in REGRESSION_SEEDS.items():
