Let the faults with doubtful refusals reach all servers

Both faults now end with 2 s in which all servers misbehave, and doubtful_answers plays each of its modes.

--- a/src/crocusward/devtools/fault_soak/_faults.py
+++ b/src/crocusward/devtools/fault_soak/_faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import random
 from collections.abc import Callable, Coroutine
 from typing import TYPE_CHECKING, Any
@@ -27,6 +28,7 @@
 READ_S = 0.5  # until daemons have read a change, in calm
 COLD_S = 3.0  # of a server that has just started
 LONG_REQUEST = ("POST", f"{LONG_BODY_PREFIX}x")
+EVERYWHERE_S = 2.0  # of a fault at all servers, for some dozens of odd answers
 REFUSAL_STATUSES = (503, 429, 421)
 
 
@@ -152,7 +154,7 @@
     Status 421 comes with and without the not-run header, the others always with it.
     """
     some = rng.sample(world.targets, len(world.targets) // 3)
-    for chosen in (some, list(world.targets)):
+    for chosen, lasts_s in ((some, for_s), (list(world.targets), EVERYWHERE_S)):
         with world.unstable():
             for target in chosen:
                 status = rng.choice(REFUSAL_STATUSES)
@@ -160,29 +162,29 @@
                 target.refusal_head = b"HTTP/1.1 %d Refused\r\n" % status
                 target.refusal_head += NOT_RUN_LINE if is_marked else b""
                 target.names_request = rng.random() < 0.3
-                target.repeated_share = rng.choice([0.3, 0.3, 1.0])
+                target.repeated_share = rng.choice([0.4, 0.4, 1.0])
                 target.repeated = rng.choice(["probe", "probe", "request"])
-            await world.sleep(for_s)
+            await world.sleep(lasts_s)
             for target in chosen:
                 target.repeated = ""
 
 
 @FAULTS.register("doubtful_answers")
 async def answer_doubtfully(world: "World", rng: random.Random, for_s: float) -> None:
-    """Let servers answer so that a host might take a run for none.
+    """Let some servers answer so that a host might take a run for none, then all.
 
     Callers send long bodies as well, which a server may answer before it has read them.
     """
-    total = len(world.targets)
-    chosen = rng.sample(world.targets, rng.choice([total // 2, total]))
+    some = rng.sample(world.targets, len(world.targets) // 3)
+    modes = rng.sample(sorted(DOUBTFUL_MODES), len(DOUBTFUL_MODES))
     world.paths.append(LONG_REQUEST)
-    with world.unstable():
-        for target in chosen:
-            target.mode = rng.choice(sorted(DOUBTFUL_MODES))
-            target.share = rng.choice([0.3, 1.0])
-        await world.sleep(for_s + 1.0)
-        for target in chosen:
-            target.mode = ""
+    for chosen, lasts_s in ((some, for_s), (list(world.targets), EVERYWHERE_S)):
+        with world.unstable():
+            for target, mode in zip(chosen, itertools.cycle(modes), strict=False):
+                target.mode, target.share = mode, rng.choice([0.4, 1.0])
+            await world.sleep(lasts_s)
+            for target in chosen:
+                target.mode = ""
     world.paths.remove(LONG_REQUEST)
 
 
