Find a planted host that trusts refusals without proof

Nothing showed that the fault soak with real daemons would find a host that believes a refusal which names no request. '--plant NAME' starts daemons with one decision replaced (devtools/fault_soak/_planted.py): trust-unnamed-refusals, or trust-unmarked-refusals.

--- a/src/crocusward/devtools/fault_soak/__main__.py
+++ b/src/crocusward/devtools/fault_soak/__main__.py
@@ -7,6 +7,7 @@
 
 import cyclopts
 
+from ._planted import PLANTS
 from ._world import run_soak
 
 app = cyclopts.App(help="Plays faults against real entry daemons on loopback.")
@@ -21,6 +22,7 @@
     callers: int = 12,
     keep: Path | None = None,
     first: str = "",
+    plant: str = "",
 ) -> int:
     """Play one run.
 
@@ -31,10 +33,19 @@
         callers: Callers.
         keep: Directory for settings and logs of the daemons.
         first: Name of the first fault, drawn by default.
+        plant: Name of a wrong decision that the daemons take, to test the checks.
     """
+    if plant:
+        PLANTS.get(plant)  # an unknown name fails before anything starts
     world = asyncio.run(
         run_soak(
-            seed, duration, daemons=daemons, callers=callers, keep=keep, first=first
+            seed,
+            duration,
+            daemons=daemons,
+            callers=callers,
+            keep=keep,
+            first=first,
+            plant=plant,
         )
     )
     asked = world.promises.asked
--- a/src/crocusward/devtools/fault_soak/_daemons.py
+++ b/src/crocusward/devtools/fault_soak/_daemons.py
@@ -36,6 +36,8 @@
         store_port: int,
         seeds: list[str],
         directory: Path,
+        *,
+        plant: str = "",
     ) -> None:
         self.name = name
         self.address = address
@@ -47,6 +49,9 @@
         self.stopping_s: float | None = None
         self._settings = directory / f"{name}.json"
         self._log = directory / f"{name}.log"
+        self._command = [str(REPOSITORY / "deploy" / "run.py")]
+        if plant:
+            self._command = ["-m", f"{__package__}._planted", plant]
         self._is_starting = False
         self._is_killed = False
         self._process: asyncio.subprocess.Process | None = None
@@ -100,11 +105,15 @@
         self._touch()
         self.starts_s.append(self.disturbed_s)
         self.stopping_s = None
-        env = {**os.environ, "CROCUSWARD_BOOT": str(self._settings)}
+        env = {
+            **os.environ,
+            "CROCUSWARD_BOOT": str(self._settings),
+            "PYTHONPATH": str(REPOSITORY / "src"),
+        }
         with self._log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                str(REPOSITORY / "deploy" / "run.py"),
+                *self._command,
                 env=env,
                 stdout=log,
                 stderr=log,
