--- a/src/crocusward/relay/_exchange.py
+++ b/src/crocusward/relay/_exchange.py
@@ -191,7 +191,8 @@
                 matches_request=lambda found, history: match_answer(
                     found, req.id, history
                 ),
-                keep_after_unnamed=False,
+                # The answer to the request may still follow one that names none.
+                may_reuse=lambda found: found.match is not AnswerMatch.UNNAMED,
                 allow_close_delimited=True,
                 max_idle_s=self.idle_limit_s.get(entry.service),
                 host=req.host.encode("ascii"),
--- a/src/crocusward/upstream/_pool.py
+++ b/src/crocusward/upstream/_pool.py
@@ -6,13 +6,7 @@
 
 from ..errors import ExchangeLostError, NotSentError
 from ..timing import Subscription, TimerService
-from ._connection import (
-    SILENT,
-    AnswerMatch,
-    HttpAnswer,
-    HttpConnection,
-    MatchRequest,
-)
+from ._connection import SILENT, HttpAnswer, HttpConnection, MatchRequest
 from ._encode import encode_request
 from ._headers import parse_digits
 from ._memory import AnswerMemoryBudget
@@ -114,7 +108,6 @@
         check: Callable[[HttpAnswer], object] | None = None,
         before_write: Callable[[], object] | None = None,
         matches_request: MatchRequest | None = None,
-        keep_after_unnamed: bool = True,
         may_reuse: Callable[[HttpAnswer], bool] | None = None,
         allow_close_delimited: bool = False,
         max_idle_s: float | None = None,
@@ -137,8 +130,6 @@
             before_write: Called immediately before the first byte is written; if
                 it raises, nothing is written.
             matches_request: See ``HttpConnection.exchange``.
-            keep_after_unnamed: Whether the connection may be reused after an answer
-                that names no request. The answer to this one may still follow.
             may_reuse: Returns whether the connection may be reused after an answer.
             allow_close_delimited: See ``HttpConnection.exchange``.
             max_idle_s: Maximum idle time of a reused connection, in seconds.
@@ -186,9 +177,7 @@
             raise
         if request_id:
             conn.note_answered(hash(request_id), answer.status)
-        if answer.match is AnswerMatch.UNNAMED and not keep_after_unnamed:
-            conn.abort()
-        elif may_reuse is not None and not may_reuse(answer):
+        if may_reuse is not None and not may_reuse(answer):
             conn.abort()
         self._release(endpoint, conn, answer)
         return answer
