Soak: play entry daemons in front of servers that refuse twice

Whole entry daemons in virtual time send unsafe requests to servers that refuse probes or requests twice without an id, over the real connections and parser. Fleets of whole daemons now also have an unsafe route.

--- a/src/crocusward/devtools/entry_soak/_whole_hosts.py
+++ b/src/crocusward/devtools/entry_soak/_whole_hosts.py
@@ -52,7 +52,7 @@
         self.servers: dict[str, Target] = {}
         self.deadly: set[str] = set()
         self.promises = Promises()
-        self.promises.services = {"/look/": {SERVICE}}
+        self.promises.services = {"/look/": {SERVICE}, "/order/": {SERVICE}}
         self._version = 0
         self._number = 0
         self._tasks: set[asyncio.Task[None]] = set()
@@ -125,7 +125,10 @@
         """Write a new version of the desired state; return its number."""
         self._version += 1
         columns = ["name", "host", "prefix", "kind", "timeout", "slo", "service"]
-        rows = [["look", "api.example", "/look/", "safe", "1500ms", "400ms", SERVICE]]
+        rows = [
+            [name, "api.example", f"/{name}/", kind, "1500ms", "400ms", SERVICE]
+            for name, kind in (("look", "safe"), ("order", "unsafe"))
+        ]
         document = {
             "version": f"{self._version:08x}",
             "routes": {
--- a/src/crocusward/devtools/soak/__main__.py
+++ b/src/crocusward/devtools/soak/__main__.py
@@ -33,6 +33,7 @@
     "probe-flood",
     "reuse-tokens",
     "revert-config",
+    "trust-entry-refusals",
     "trust-kept-connections",
     "trust-restored-rows",
     "trust-unnamed-refusals",
--- a/src/crocusward/devtools/soak/_entry_plays.py
+++ b/src/crocusward/devtools/soak/_entry_plays.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import random
+from collections import Counter
 from collections.abc import Callable
 from unittest import mock
 
@@ -11,6 +12,7 @@
 from ...invariants import InvariantName
 from ...placing import NO_LIMIT, BackendLoad, PermitIssuer
 from ...registry import Registry
+from ...upstream import AnswerMatch
 from ..entry_soak import (
     ColdServer,
     LimitedFleet,
@@ -46,6 +48,13 @@
 RESTART_ROUNDS = 3
 RESTART_S = 0.1
 REMOVAL_BOUND_S = 3.0  # from a removal until it is in force everywhere
+REFUSING_HOSTS = 3  # in each data centre
+REFUSING_SERVERS = 6
+REFUSED_SHARE = 0.3
+REFUSALS_PLAYED_S = 6.0
+ORDERS_PER_S = 60.0
+REFUSED_STATUS = 503  # says that the request has not run
+UNNAMED_REFUSAL = b"HTTP/1.1 503 Refused\r\nCrocusward-Not-Executed: 1\r\n"
 INNOCENTS = ("/look/a", "/look/b", "/look/c")
 DATA_CENTRES = ("east-a", "east-b", "west-a")
 
@@ -199,6 +208,53 @@
     _report(totals, InvariantName.CONFIG_IN_TIME, found, 0)
 
 
+@ENTRY_PLAYS.register("trust-entry-refusals")
+def play_repeated_refusals(seed: int, totals: Totals, is_faulty: bool) -> None:
+    """Play servers that refuse probes or requests twice, without an id.
+
+    Args:
+        seed: Seed of the run.
+        totals: Collects what was broken.
+        is_faulty: Whether the hosts take each refusal for that of their request.
+
+    Raises:
+        ViolationsFound: A request that must run once ran twice, or ran although it was
+            refused as not run.
+    """
+    rng = random.Random(seed)
+    with contextlib.ExitStack() as stack:
+        if is_faulty:
+            stack.enter_context(
+                mock.patch(
+                    "crocusward.relay._exchange.match_answer",
+                    lambda *_: AnswerMatch.OWN,
+                )
+            )
+        fleet = WholeFleet(seed, REFUSING_HOSTS, DATAGRAM_LOSS)
+        stack.callback(fleet.close)
+        fleet.add_servers(REFUSING_SERVERS)
+        fleet.network.advance(1.0)
+        for server in fleet.servers.values():
+            server.repeated = rng.choice(("probe", "request"))
+            server.refusal_head, server.share = UNNAMED_REFUSAL, REFUSED_SHARE
+        end_s = fleet.now_s() + REFUSALS_PLAYED_S
+        while fleet.now_s() < end_s:
+            fleet.network.advance(rng.expovariate(ORDERS_PER_S))
+            fleet.ask(f"/order/{len(fleet.promises.asked)}", body=b"x")
+        fleet.network.advance(2.0)
+        runs = Counter(run.id for run in fleet.promises.runs)
+        asked = fleet.promises.asked
+        for host in fleet.hosts.values():
+            totals.violations.update(host.invariants.violations)
+    found = [f"{id} ran {count} times" for id, count in runs.items() if count > 1]
+    found += [
+        f"{item.id} ran, refused as not run"
+        for item in asked
+        if item.status == REFUSED_STATUS and runs[item.id]
+    ]
+    _report(totals, InvariantName.AT_MOST_ONCE, found, len(asked))
+
+
 @ENTRY_PLAYS.register("forget-crashes")
 def play_crashing_requests(seed: int, totals: Totals, is_faulty: bool) -> None:
     """Play a request that crashes servers and comes again at any host.
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -22,6 +22,7 @@
     "probe-flood": InvariantName.PROBE_BUDGET,
     "reuse-tokens": InvariantName.SERVICE,
     "revert-config": InvariantName.CONFIG_MONOTONIC,
+    "trust-entry-refusals": InvariantName.AT_MOST_ONCE,
     "trust-kept-connections": InvariantName.CONFIG_IN_TIME,
     "trust-restored-rows": InvariantName.CONFIG_MONOTONIC,
 }
