Refuse the intended share of requests in the simulated soak

After a merge the play set the share of the servers' mode, not that of repeated refusals, so that every probe or request was refused. tests.test_soak passes (2 tests, 67 s).

--- a/src/crocusward/devtools/soak/_entry_plays.py
+++ b/src/crocusward/devtools/soak/_entry_plays.py
@@ -236,7 +236,8 @@
         fleet.network.advance(1.0)
         for server in fleet.servers.values():
             server.repeated = rng.choice(("probe", "request"))
-            server.refusal_head, server.share = UNNAMED_REFUSAL, REFUSED_SHARE
+            server.refusal_head = UNNAMED_REFUSAL
+            server.repeated_share = REFUSED_SHARE
         end_s = fleet.now_s() + REFUSALS_PLAYED_S
         while fleet.now_s() < end_s:
             fleet.network.advance(rng.expovariate(ORDERS_PER_S))
