--- a/src/crocusward/devtools/fault_soak/_daemons.py
+++ b/src/crocusward/devtools/fault_soak/_daemons.py
@@ -177,7 +177,11 @@
         """Return whether the process ignores or catches the signal by now."""
         if self._process is None or not self.is_running:
             return False
-        status = Path(f"/proc/{self._process.pid}/status").read_text(encoding="ascii")
+        path = Path(f"/proc/{self._process.pid}/status")
+        try:
+            status = path.read_text(encoding="ascii")
+        except FileNotFoundError:
+            return False  # the process ended and was not waited for yet
         masks = dict(line.split(":", 1) for line in status.splitlines())
         bit = 1 << (signal.SIGHUP - 1)
         return any(int(masks[name], 16) & bit for name in ("SigIgn", "SigCgt"))
