--- a/review/lab/lab.py
+++ b/review/lab/lab.py
@@ -50,6 +50,7 @@
 }
 STABILITY_S = 3.0
 DRAIN_S = 2.0
+EVACUATE_S = 5.0
 CONFIG_APPLY_S = 2.0
 ROUTE_COLUMNS = [
     "name", "host", "prefix", "kind", "timeout", "slo", "priority", "service",
@@ -299,6 +300,7 @@
         self.extra_headers: list[tuple[str, str]] = []
         self.behave = None
         self.is_up = False
+        self.is_leaving = False
         self.running = self.waiting = 0
         self.id = ""
         self._tasks: list[asyncio.Task] = []
@@ -337,6 +339,14 @@
             "born": self.born_ms,
         }
 
+    def leave(self) -> None:
+        """Leave without a report of it: the entry is removed, the target serves on."""
+        self.is_leaving = True
+        for task in self._tasks:
+            task.cancel()
+        self.world.store.put("servers", self.id, None)
+        self.world.record.write("target_removed", target=self.id)
+
     def crash(self) -> None:
         """End the process of the target: the port closes, connections end."""
         self.is_up = False
@@ -563,21 +573,21 @@
             },
         )
 
-    async def start(self, counts: dict[str, dict[str, int]], work_s: float) -> None:
+    async def start(self, counts: dict, work_s: float, zones=None) -> None:
         """Start store, targets (service: zone: count) and four daemons; wait for calm."""
         await self.store_server.open()
         self.write_config()
-        for service, zones in counts.items():
-            for zone, count in zones.items():
+        for service, spread in counts.items():
+            for zone, count in spread.items():
                 for _ in range(count):
                     self.targets.append(Target(self, service, zone, work_s))
         for target in self.targets:
             await target.start()
         base = random.randrange(1, 200)
-        zones = ["tallinn-a", "tallinn-a", "tartu-a", "tartu-a"]
+        zones = zones or ["tallinn-a", "tallinn-a", "tartu-a", "tartu-a"]
         for index, zone in enumerate(zones):
             address = f"127.{base}.{index + 1}.10"
-            name = f"front-{zone}-{index % 2 + 1}"
+            name = f"front-{zone}-{index + 1}"
             self.daemons.append(Daemon(self, name, address, zone))
         self.ports = find_free_ports([d.address for d in self.daemons])
         for daemon in self.daemons:
@@ -695,7 +705,9 @@
         world = World(folder, record)
         try:
             async with asyncio.timeout(options.get("limit_s", 110.0)):
-                await world.start(options["targets"], options.get("work_s", 0.02))
+                await world.start(
+                    options["targets"], options.get("work_s", 0.02), options.get("zones")
+                )
                 broken = await play(world, trouble)
         except (CannotRunError, OSError, TimeoutError) as exc:
             print(f"could not run: {type(exc).__name__} {exc}")
