--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,6 +1,7 @@
-"""Targets name a Server-Limit that is a decimal number of many digits."""
+"""The settings name another address of the store, and SIGHUP says that they changed."""
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
@@ -8,54 +9,61 @@
 sys.path.insert(0, str(CASE.parent / "lab"))
 import lab  # noqa: E402
 
-LIMIT_PER_S = 10.0 / 3.0
-# TROUBLE=short names the same limit with fewer digits.
-TEXTS = {"1": repr(LIMIT_PER_S), "short": f"{LIMIT_PER_S:.4f}"}
-PLAY_S = 20.0
-ASKS_PER_S = 60.0
-WINDOW_S, FACTOR, EXTRA, KNOWN_S = 4.0, 1.5, 5, 0.5  # NEWS, LIMIT
+BOTH_OPEN_S = 10.0  # the store answers at both addresses for so long
+PLAY_S = 10.0
+ASKS_PER_S = 20.0
 
 
 async def play(world: lab.World, trouble: str) -> list[str]:
-    if trouble in TEXTS:
-        for target in world.targets:
-            target.extra_headers = [("Server-Limit", TEXTS[trouble])]
-    asks = []
-    for index in range(int(PLAY_S * ASKS_PER_S)):
-        daemon = world.daemons[index % len(world.daemons)]
-        asks.append(asyncio.create_task(world.ask(daemon, "GET", "/katalog/a")))
-        await asyncio.sleep(1.0 / ASKS_PER_S)
-    await asyncio.gather(*asks)
-    if trouble not in TEXTS:
+    """Play the case.
+
+    TROUBLE=0: the settings are written anew with the same address.
+    """
+    other = world.store.listen()
+    await other.open()
+    old = world.store_server
+    port = old.port if trouble == "0" else other.port
+    try:
+        for daemon in world.daemons:
+            daemon.write_settings(f"127.0.0.1:{port}")
+            daemon.signal(signal.SIGHUP)
+        world.record.write("settings_changed", store=f"127.0.0.1:{port}")
+        await asyncio.sleep(BOTH_OPEN_S)
+        if trouble != "0":
+            old.close()
+            world.record.write("old_address_closed", store=f"127.0.0.1:{old.port}")
+        await asyncio.sleep(lab.STABILITY_S + 1.0)
+        route = next(r for r in world.routes if r["name"] == "r-tellimus")
+        route["service"] = "materjalid"
+        world.write_config()
+        confirmed_s = lab.now()
+        asks = []
+        for index in range(int(PLAY_S * ASKS_PER_S)):
+            daemon = world.daemons[index % len(world.daemons)]
+            ask = world.ask(daemon, "PUT", "/tellimus/a", body=b"order")
+            asks.append(asyncio.create_task(ask))
+            await asyncio.sleep(1.0 / ASKS_PER_S)
+        await asyncio.gather(*asks)
+    finally:
+        other.close()
+    late = [
+        req.id
+        for _, _, service, req in world.runs
+        if service == "tellimused"
+        and world.got[req.id].sent_s > confirmed_s + lab.CONFIG_APPLY_S
+    ]
+    if not late:
         return []
-    ran_at = {req.id: target for _, target, _, req in world.runs}
-    # When each daemon first passed on an answer with the limit, by target.
-    told: dict[tuple[str, str], float] = {}
-    for got in world.got.values():
-        if got.status == 200 and "server-limit" in got.headers:
-            key = (ran_at[got.id], got.daemon.name)
-            told[key] = min(told.get(key, 1e18), got.ended_s)
-    allowed = FACTOR * LIMIT_PER_S * WINDOW_S + EXTRA
-    broken = []
-    for target in world.targets:
-        named_s = [at for (id, _), at in told.items() if id == target.id]
-        if not named_s:
-            continue
-        binding_s = min(named_s) + lab.STABILITY_S
-        times = sorted(
-            at
-            for at, id, req_id in world.arrivals
-            if id == target.id
-            and at > binding_s
-            and at > told.get((id, world.got[req_id].daemon.name), 1e18) + KNOWN_S
-        )
-        most = max((sum(s <= t < s + WINDOW_S for t in times) for s in times), default=0)
-        if most > allowed:
-            broken.append(
-                f"LIMIT: {target.id} named {TEXTS[trouble]} a second and got {most}"
-                f" requests in {WINDOW_S:g} s, {allowed:.0f} are allowed"
-            )
-    return broken
+    sent = [
+        got
+        for got in world.got.values()
+        if got.sent_s > confirmed_s + lab.CONFIG_APPLY_S
+    ]
+    return [
+        f"CONFIG: {len(late)} of {len(sent)} requests that were sent later than"
+        f" {lab.CONFIG_APPLY_S:g} s after the confirmation of a version ran at the"
+        f" service of the version before it"
+    ]
 
 
 if __name__ == "__main__":
@@ -63,5 +71,8 @@
         play,
         CASE,
         limit_s=60.0,
-        targets={"materjalid": {"tallinn-a": 3, "tartu-a": 3}},
+        targets={
+            "materjalid": {"tallinn-a": 3, "tartu-a": 3},
+            "tellimused": {"tallinn-a": 2, "tartu-a": 2},
+        },
     )
