--- a/review/10/case.py
+++ b/review/10/case.py
@@ -79,7 +79,7 @@
 if __name__ == "__main__":
     lab.main(
         play,
-        CASE,
+        CASE / "record.txt",
         limit_s=90.0,
         targets={"materjalid": {"tallinn-a": 4, "tartu-a": 4}},
     )
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -67,7 +67,7 @@
 if __name__ == "__main__":
     lab.main(
         play,
-        CASE,
+        CASE / "record.txt",
         limit_s=60.0,
         targets={
             "materjalid": {"tallinn-a": 2, "tartu-a": 2},
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -37,11 +37,10 @@
     ordered_s = lab.now()
     await asyncio.sleep(IN_FORCE_S)
     if trouble != "0":
-        port = world.store_server.port
-        world.store_server.close()
+        world.take_store_down()
         await asyncio.sleep(AWAY_S)
         world.store.restore(copy)
-        await world.store_server.open(port=port)
+        await world.bring_store_back()
     returned_s = lab.now()
     await asyncio.sleep(WRITTEN_AGAIN_S)
     world.store.put("op", ROW, {})
@@ -69,7 +68,7 @@
 if __name__ == "__main__":
     lab.main(
         play,
-        CASE,
+        CASE / "record.txt",
         limit_s=60.0,
         targets={"materjalid": {"tallinn-a": 3, "tartu-a": 3}},
     )
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -43,12 +43,9 @@
 
     traffic = asyncio.create_task(ask_all_the_time())
     if trouble != "0":
-        port = world.store_server.port
-        world.store_server.close()
-        world.record.write("store_down", for_s=OUTAGE_S)
+        world.take_store_down()
         await asyncio.sleep(OUTAGE_S)
-        await world.store_server.open(port=port)
-        world.record.write("store_back")
+        await world.bring_store_back()
     await asyncio.sleep(CALM_S)
     broken = []
     for killed in world.daemons[:KILLS]:
@@ -84,7 +81,7 @@
 if __name__ == "__main__":
     lab.main(
         play,
-        CASE,
+        CASE / "record.txt",
         limit_s=100.0,
         work_s=WORK_S,
         zones=["tallinn-a"] * 5,
--- a/review/lab/lab.py
+++ b/review/lab/lab.py
@@ -25,6 +25,7 @@
 
 REPOSITORY = Path(__file__).resolve().parents[2]
 HEARTBEAT_S = 1.5
+WARMUP_MS = 3000
 ZONES = {"tallinn-a": "pohja", "tartu-a": "louna"}
 # As on the users' pages (PROTOCOL.md, DEPLOY.md, SYSTEM.md).
 BOUNDS = {
@@ -164,6 +165,7 @@
         self._changed = asyncio.Event()
         self.calls = 0
         self.era = 1  # Store-Era, in all answers
+        self.is_up = True  # while it is down, nobody writes
 
     def copy(self) -> tuple:
         """Return a copy of what the store holds."""
@@ -181,6 +183,8 @@
 
     def put(self, table: str, key: str, value: dict | bytes | None) -> None:
         """Write or drop a row, as the operator and the targets do."""
+        if not self.is_up:
+            return  # targets write again with their next heartbeat
         if isinstance(value, dict):
             value = json.dumps(value).encode()
         self.version += 1
@@ -325,8 +329,13 @@
             self.world.store.put("servers", id, self.entry())
             await asyncio.sleep(HEARTBEAT_S)
 
+    def cold_left_ms(self) -> int:
+        """Return for how long a target that started during traffic stays cold."""
+        if not self.world.has_traffic:
+            return 0
+        return max(0, self.born_ms + WARMUP_MS - time.time_ns() // 1_000_000)
+
     def entry(self) -> dict:
-        left_ms = 0
         return {
             "service": self.service,
             "address": f"127.0.0.1:{self.server.port}",
@@ -334,7 +343,7 @@
             "version": "v1",
             "slots": self.slots,
             "state": "ready",
-            "warmupLeft": f"{left_ms}ms",
+            "warmupLeft": f"{self.cold_left_ms()}ms",
             "seq": self._seq,
             "born": self.born_ms,
         }
@@ -367,6 +376,8 @@
             common = [("Crocusward-Server-Load", load), *self.extra_headers]
             if req.target == "/health":
                 head = [("Crocusward-Instance-Id", self.id), *common]
+                if left_ms := self.cold_left_ms():
+                    head.append(("Crocusward-Warmup-Remaining-Ms", str(left_ms)))
                 writer.write(make_answer(200, head))
                 continue
             common.append(("Crocusward-Request-Id", req.id))
@@ -437,7 +448,7 @@
             },
             "portRange": [ports[3], ports[3] + 3],
             "seeds": [f"{d.address}:{ports[2]}" for d in self.world.daemons[:3]],
-            "bootstrap": True,
+            "bootstrap": self.process is None,  # at the first start of the system
             "inFailureBudget": False,
             "limits": {
                 "cpuShare": 0.86, "cores": 1, "memoryMb": 300, "maxFds": 4100,
@@ -461,6 +472,8 @@
         partial.replace(self.settings)
 
     async def start(self) -> None:
+        if self.world.is_over:
+            return
         deploy = tomllib.loads((REPOSITORY / "deploy/system.toml").read_text("utf-8"))
         command = deploy["roles"]["entry"]["run"].split(" ")
         env = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
@@ -530,6 +543,8 @@
         self.runs: list[tuple[float, str, str, Message]] = []
         self.got: dict[str, Got] = {}
         self.ports: list[int] = []
+        self.has_traffic = False
+        self.is_over = False
         self._version = 0
         self._ids = itertools.count(1)
         self._rng = random.Random(7)
@@ -596,12 +611,27 @@
         await asyncio.gather(*(d.wait_ready() for d in self.daemons))
         # Past the cold time of the targets and `stability` after the starts.
         await asyncio.sleep(STABILITY_S + 1.0)
+        self.has_traffic = True
         self.record.write("ready", daemons=[d.name for d in self.daemons])
 
+    def take_store_down(self) -> None:
+        """End the store: its port closes, connections end."""
+        self.store.is_up = False
+        self.store_server.close()
+        self.record.write("store_down")
+
+    async def bring_store_back(self) -> None:
+        """Let the store listen at its address again."""
+        await self.store_server.open(port=self.store_server.port)
+        self.store.is_up = True
+        self.record.write("store_back")
+
     def store_address(self) -> str:
         return f"127.0.0.1:{self.store_server.port}"
 
     async def stop(self) -> None:
+        """End all processes; none is started any more."""
+        self.is_over = True
         for daemon in self.daemons:
             await daemon.stop()
         for target in self.targets:
@@ -692,23 +722,29 @@
     return True
 
 
-def main(play, case: Path, **options) -> None:
+def main(play, record_path: Path, **options) -> None:
     """Run one case and exit: 1 if the rule was broken, 0 if it held, 2 if it can't run.
 
-    `play(world, trouble)` returns the list of what broke the rule.
+    `play(world, trouble)` returns the list of what broke the rule. What was sent,
+    answered and run is written to `record_path`.
     """
     trouble = os.environ.get("TROUBLE", "1")
-    record = Record(case / "record.txt")
+    record = Record(record_path)
     folder = Path(tempfile.mkdtemp(prefix="crocusward-review-"))
 
     async def run() -> int:
         world = World(folder, record)
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(options.get("limit_s", 110.0)):
                 await world.start(
                     options["targets"], options.get("work_s", 0.02), options.get("zones")
                 )
                 broken = await play(world, trouble)
+            if not any(got.status == 200 for got in world.got.values()):
+                raise CannotRunError("no request was served")
         except (CannotRunError, OSError, TimeoutError) as exc:
             print(f"could not run: {type(exc).__name__} {exc}")
             return 2
@@ -724,7 +760,7 @@
 
     try:
         code = asyncio.run(run())
-    except Exception as exc:  # a fault of the case itself, not of the rule
+    except (Exception, asyncio.CancelledError) as exc:  # not the rule's
         print(f"could not run: {exc!r}")
         code = 2
     finally:
