Read the body behind an offered upgrade

Cause: httptools ends a message at its head whenever the head asks for an upgrade, and reports that only after the end of the message, when the request had started. The own interface refused offers with a body and closed the connection after others.

--- a/src/crocusward/relay/_caller.py
+++ b/src/crocusward/relay/_caller.py
@@ -8,6 +8,7 @@
 import httptools
 
 from ..desired import CallerLimits
+from ..framing import RequestParser
 from ..lingering import LingerEnd, LingeringClose
 from ..platform import REQUEST_ID_HEADER
 from ..upstream import AnswerMemoryBudget, PacedReads, ReadPacer
@@ -71,10 +72,12 @@
 
     Attributes:
         last_id: Id of the last request that was answered.
+        headers: See ``RequestCallbacks``.
     """
 
     __slots__ = (
         "last_id",
+        "headers",
         "_handler",
         "_now",
         "_reads",
@@ -88,7 +91,6 @@
         "_parser",
         "_pending",
         "_target",
-        "_headers",
         "_head_bytes",
         "_current",
         "_is_reading_head",
@@ -122,7 +124,7 @@
         self._on_linger_end = on_linger_end
         self._linger: LingeringClose | None = None
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser = RequestParser(self)
         self._pending: deque[PendingRequest] = deque()
         self._current: PendingRequest | None = None
         self._is_reading_head = False
@@ -136,7 +138,7 @@
 
     def _start_head(self) -> None:
         self._target = b""
-        self._headers: Headers = []
+        self.headers: Headers = []
         self._head_bytes = 0
         self._framing_bytes = 0
         self._is_reading_head = True
@@ -229,8 +231,6 @@
         self._framing_bytes += nbytes
         try:
             self._parser.feed_data(self._buffer[:nbytes])
-        except httptools.HttpParserUpgrade:
-            self._reject(make_refusal(400, "upgrades are not supported", close=True))
         except httptools.HttpParserError:
             if not self._is_closing and not self._is_rejected:
                 self._reject(make_refusal(400, "the request is malformed", close=True))
@@ -305,7 +305,7 @@
         self._reads.add_piece()
         self._check_head_size(len(name) + len(value) + 4)
         if self._is_reading_head:
-            self._headers.append((name.lower(), value))
+            self.headers.append((name.lower(), value))
 
     def _check_head_size(self, size: int) -> None:
         self._head_bytes += size
@@ -317,10 +317,10 @@
         """Check the head and queue the request."""
         self._is_reading_head = False
         method = self._parser.get_method().decode("ascii")
-        req = parse_head(method, self._target, self._headers, self._now())
+        req = parse_head(method, self._target, self.headers, self._now())
         if req is None:
             raise ValueError("the head is malformed")
-        self._headers = []
+        self.headers = []
         item = PendingRequest(req, self._parser.should_keep_alive())
         self._current = item
         self._pending.append(item)
@@ -492,7 +492,7 @@
         if self._current is not None:
             self._reject_current(answer)
             return
-        id = find_header(self._headers, REQUEST_ID_HEADER) or b""
+        id = find_header(self.headers, REQUEST_ID_HEADER) or b""
         self._log_rejection(id, answer)
         req = CallerRequest(
             "GET", "/", "", [], id=id, received_s=self._now(), time_left_s=None
