Drop what follows a request that ends its connection

A request with Connection: close and bytes behind it got an answer that did not announce the close, and then a 400 that belonged to no request.

Cause: the parser's error about the bytes was queued as the answer to a next request, so the answer before it was not the last one.

Change: nothing is read behind such a request (RFC 9112, 9.6).

--- a/src/crocusward/relay/_caller.py
+++ b/src/crocusward/relay/_caller.py
@@ -99,6 +99,7 @@
         "_is_rejected",
         "_is_draining",
         "_is_ending",
+        "_has_last_request",
         "_framing_bytes",
     )
 
@@ -132,6 +133,7 @@
         self._is_rejected = False
         self._is_draining = False
         self._is_ending = False
+        self._has_last_request = False
         self._timeout_start_s = now()
         self._start_head()
         self._is_reading_head = False
@@ -224,7 +226,7 @@
         if self._linger is not None:
             self._linger.drop(nbytes, self._now())
             return
-        if self._is_closing or self._is_rejected:
+        if self._is_closing or self._is_rejected or self._has_last_request:
             return
         if not self._is_reading_head:
             self._timeout_start_s = self._now()
@@ -232,7 +234,8 @@
         try:
             self._parser.feed_data(self._buffer[:nbytes])
         except httptools.HttpParserError:
-            if not self._is_closing and not self._is_rejected:
+            # No request may follow one that ends the connection (RFC 9112, 9.6).
+            if not self._has_last_request:
                 self._reject(make_refusal(400, "the request is malformed", close=True))
         else:
             self._reads.end_read(nbytes, self._transport)
@@ -357,6 +360,7 @@
         if item is None or self._is_closing:
             return
         item.is_complete = True
+        self._has_last_request = not item.keep_alive
         item.req.body = bytes(item.body)
         item.body = bytearray()
         self._start_runnable()
--- a/tests/test_offered_upgrades.py
+++ b/tests/test_offered_upgrades.py
@@ -105,6 +105,29 @@
         self.assertNotIn("connection", answers[0].headers)
         self.assertEqual([item[2] for item in ran], [b"body"])
 
+    async def test_bytes_behind_a_request_that_closes_get_no_answer(self):
+        """Guards against an answer to no request, which a caller takes for its own."""
+        state = desired(route(), ORDER)
+        for options in (b"close", b"close, Upgrade\r\nUpgrade: h2c"):
+            for size, tail in itertools.product((10, 65_536), (b"", b"\r\n", BODY)):
+                with self.subTest(options=options, size=size, tail=tail):
+                    async with (
+                        BodyServer() as server,
+                        self.relay(server, state=state) as relay,
+                    ):
+                        client = await relay.client()
+                        data = b"PUT /look/x HTTP/1.1\r\nHost: api.example\r\n"
+                        data += b"Crocusward-Request-Id: q1\r\nConnection: " + options
+                        data += b"\r\nContent-Length: 2\r\n\r\nab" + tail
+                        for start in range(0, len(data), size):
+                            client.raw.send(data[start : start + size])
+                            await asyncio.sleep(0)
+                        got = await client.raw.read()
+                        self.assertEqual((got.status, got.body), (200, b"ab"))
+                        self.assertEqual(got.headers["connection"], "close")
+                        self.assertTrue(await client.raw.at_eof())
+                        self.assertEqual(len(server.ran), 1)
+
     async def test_connect_and_bad_framing_are_refused_before_they_run(self):
         """Guards against a refusal that follows the answer to a request that ran."""
         offer = b"\r\n".join((b"Host: api.example", *OFFERS["h2c"]))
