Forget failures of reads that another host's answer ended

Cause: each host that fails to read remembers since when, and kept that when it was relieved as a reader. Its next answer, minutes later, ended an outage of that length and held removals back for 2.3 s, at its neighbours too.

Change: failures count since the last answer that any host of the data centre had, as reports tell. A hold handed on with rows ends when it ends at its source; it was counted from the arrival on. Messages between hosts stay as they are.

--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -264,6 +264,7 @@
             self._is_reader,
             self._should_read_first,
             lambda: self.hub.rank,
+            self._last_answer_elsewhere_s,
             self._on_change,
             self._on_version,
         )
@@ -306,6 +307,10 @@
         )
         return max(self._oldest_answer_s(), current_s)
 
+    def _last_answer_elsewhere_s(self) -> float:
+        """Return when another host last had an answer from the store."""
+        return max(self.neighbours.last_answer_s(), self.other_readers.last_answer_s())
+
     def _is_reader(self) -> bool:
         now_s = self.timer.now()
         if not self.other_readers.is_reader(now_s, self._oldest_answer_s()):
--- a/src/crocusward/entryd/_reader.py
+++ b/src/crocusward/entryd/_reader.py
@@ -37,6 +37,8 @@
         is_reader: Returns whether this host reads the store.
         should_read_first: Returns whether this host reads a table without a copy.
         rank: Returns how many hosts of the data centre precede this one.
+        other_answer_s: Returns when another host of the data centre last had an answer
+            from the store, as far as known, in monotonic seconds.
         on_change: Called with the table name and each changed row.
         on_version: Called after the position of the copy has changed.
 
@@ -56,6 +58,7 @@
         "_is_reader",
         "_should_read_first",
         "_rank",
+        "_other_answer_s",
         "_on_change",
         "_on_version",
         "_failures",
@@ -75,6 +78,7 @@
         is_reader: Callable[[], bool],
         should_read_first: Callable[[], bool],
         rank: Callable[[], int],
+        other_answer_s: Callable[[], float],
         on_change: Callable[[str, RowChange], None],
         on_version: Callable[[], None],
     ) -> None:
@@ -88,6 +92,7 @@
         self._is_reader = is_reader
         self._should_read_first = should_read_first
         self._rank = rank
+        self._other_answer_s = other_answer_s
         self._on_change = on_change
         self._on_version = on_version
         self._failures = 0
@@ -122,6 +127,7 @@
             self._was_reader = is_reader
             log_event("reader_role", table=copy.name, reads_store=is_reader)
         if not is_reader:
+            self._forget_ended_failures()
             await self._timer.sleep(ROLE_CHECK_PERIOD_S)
             return
         if copy.version < 0:
@@ -175,15 +181,35 @@
             )
         return page
 
+    def _forget_ended_failures(self) -> None:
+        """Forget failures that another host has had an answer after.
+
+        Otherwise the first answer to this host, when it reads again, would end an
+        outage that was over long before.
+        """
+        if self._failures and self._other_answer_s() > self._failed_since_s:
+            log_event(
+                "store_failures_ended", table=self.copy.name, failures=self._failures
+            )
+            self._failures = 0
+
     def _record_answer(self) -> None:
         now_s = self._timer.now()
         self.answered_s = now_s
         if self._failures == 0:
             return
-        outage_s = now_s - self._failed_since_s
-        log_event("store_regained", table=self.copy.name, outage_s=outage_s)
+        # Another host's next answer may be under way, and its report after that.
+        other_s = self._other_answer_s() + self._times.takeover_age_s
+        outage_s = max(0.0, now_s - max(self._failed_since_s, other_s))
+        is_outage = outage_s >= MIN_OUTAGE_S and self.copy.version >= 0
+        log_event(
+            "store_regained",
+            table=self.copy.name,
+            outage_s=outage_s,
+            hold_s=REMOVAL_HOLD_S if is_outage else 0.0,
+        )
         self._failures = 0
-        if outage_s >= MIN_OUTAGE_S and self.copy.version >= 0:
+        if is_outage:
             self.copy.defer_removals(now_s + REMOVAL_HOLD_S)
 
     async def _back_off(self, exc: CrocusError) -> None:
--- a/src/crocusward/entryd/_row_replicator.py
+++ b/src/crocusward/entryd/_row_replicator.py
@@ -30,18 +30,19 @@
 
     Attributes:
         page: The rows.
-        hold_s: For how long the neighbour still defers removals, in seconds.
+        hold_end_s: Until when the neighbour defers removals, or earlier by the time
+            that the request took to reach it, in monotonic seconds.
         source: The neighbour.
         is_merge: Whether the page has all rows of the neighbour.
     """
 
-    __slots__ = ("page", "hold_s", "source", "is_merge")
+    __slots__ = ("page", "hold_end_s", "source", "is_merge")
 
     def __init__(
-        self, page: TablePage, hold_s: float, source: Neighbour, is_merge: bool
+        self, page: TablePage, hold_end_s: float, source: Neighbour, is_merge: bool
     ) -> None:
         self.page = page
-        self.hold_s = hold_s
+        self.hold_end_s = hold_end_s
         self.source = source
         self.is_merge = is_merge
 
@@ -153,7 +154,8 @@
             for task in running:
                 task.cancel()
         self.outcomes["taken"] += 1
-        follower.apply_neighbour_page(pulled.page, pulled.hold_s, pulled.is_merge)
+        hold_s = pulled.hold_end_s - self._timer.now()
+        follower.apply_neighbour_page(pulled.page, hold_s, pulled.is_merge)
         if pulled.page.changes:
             self._sampler.log(
                 "neighbour_rows_taken",
@@ -204,7 +206,8 @@
                 reason=str(exc),
             )
             return None
-        return PulledPage(page, hold_s, source, is_merge)
+        # Counted from the request on, so that a slow answer prolongs no hold.
+        return PulledPage(page, began_s + hold_s, source, is_merge)
 
     def encode_rows_after(self, query: str) -> bytes | None:
         """Return the page that a neighbour requests, or None for a bad query."""
--- a/src/crocusward/neighbours/_table.py
+++ b/src/crocusward/neighbours/_table.py
@@ -12,6 +12,7 @@
 # time would drop neighbours on lossy links.
 SILENCE_TIMEOUT_S = 1.0
 FORGET_AFTER_S = 60.0  # reports are no longer sent to a neighbour silent for this long
+NEVER_S = -1e9  # before the first answer from the store, in monotonic seconds
 TAKEOVER_STEP_S = 0.12  # takeover delay for each rank, so that only one host takes over
 
 
@@ -47,7 +48,7 @@
         self.incarnation = 0
         self.seq = -1
         self.last_report_s = now_s - SILENCE_TIMEOUT_S
-        self.store_answered_s = -1e9
+        self.store_answered_s = NEVER_S
         self.positions: dict[str, TablePosition] = {}
         self.is_leaving = False
 
@@ -73,7 +74,7 @@
     def __init__(self, host: str, times: ReadTimes) -> None:
         self._host = host
         self._times = times
-        self._current_s = -1e9
+        self._current_s = NEVER_S
         self.neighbours: dict[str, Neighbour] = {}
 
     def add(self, host: str, address: str, now_s: float) -> bool:
@@ -178,6 +179,14 @@
                 self._current_s = max(self._current_s, neighbour.store_answered_s)
         return self._current_s
 
+    def last_answer_s(self) -> float:
+        """Return when a neighbour last had an answer from the store, as far as known.
+
+        Answers that one neighbour has learned of from another count too.
+        """
+        known = (n.store_answered_s for n in self.neighbours.values())
+        return max(known, default=NEVER_S)
+
     def list_sources(
         self, table: str, position: TablePosition, now_s: float
     ) -> list[Neighbour]:
--- a/tests/test_entryd.py
+++ b/tests/test_entryd.py
@@ -114,6 +114,8 @@
 
 
 class FollowerTest(unittest.IsolatedAsyncioTestCase):
+    other_answer_s = -1e9
+
     def make_follower(self, store, is_reader=True, rank=0, should_read_first=True):
         self.changes = []
         timer = LoopTimer(asyncio.get_running_loop(), random.Random(1))
@@ -126,6 +128,7 @@
             lambda: is_reader,
             lambda: should_read_first,
             lambda: rank,
+            lambda: self.other_answer_s,
             lambda table, change: self.changes.append((change.key, change.value)),
             lambda: None,
         )
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 import random
 import unittest
 
@@ -46,6 +47,7 @@
                 lambda: True,
                 lambda: True,
                 lambda: 0,
+                lambda: -math.inf,
                 self._on_change,
                 lambda: None,
             )
