Count a crash whatever bytes of the answer had come

Cause: a lost exchange led to the check whether the server is gone only if no byte of an answer had arrived.

Change: any end of the connection before a complete answer does. An answer without a length, which a crash ends like a close, is whole only if the server still accepts connections or is leaving.

--- a/src/crocusward/relay/_crash_watch.py
+++ b/src/crocusward/relay/_crash_watch.py
@@ -29,9 +29,9 @@
 class CrashWatch:
     """Counts crashes of servers under requests, and knows which may still run.
 
-    A connection that ends without a byte of an answer is no crash by itself: the server
-    must also refuse new connections. All requests that a crash ended become suspects;
-    the answer of a run clears one again.
+    A connection that ends without a complete answer is no crash by itself: the server
+    must also refuse new connections, which one behind a cut network does not. All
+    requests that a crash ended become suspects; the answer of a run clears one again.
 
     Args:
         registry: Counts the crashes.
@@ -129,15 +129,10 @@
     async def _examine(
         self, req: CallerRequest, request_id: str, load: BackendLoad
     ) -> None:
+        if not await self.is_gone(load):
+            return
         entry = load.entry
         crash = crash_id(entry.id, entry.started_unix_ms)
-        check = self._checks.get(entry.id)
-        if check is None:
-            check = asyncio.get_running_loop().create_task(self._is_gone(load))
-            self._checks[entry.id] = check
-            check.add_done_callback(lambda _: self._checks.pop(entry.id, None))
-        if not await check:
-            return
         digest = _digest(req)
         was_blocked = self.registry.is_blocked(digest)
         if self.registry.add_crash(digest, crash):
@@ -156,7 +151,17 @@
         for observer in self.observers:
             observer(digest, was_blocked)
 
-    async def _is_gone(self, load: BackendLoad) -> bool:
+    async def is_gone(self, load: BackendLoad) -> bool:
+        """Return whether a server refuses connections, as after a crash."""
+        id = load.entry.id
+        check = self._checks.get(id)
+        if check is None:
+            check = asyncio.get_running_loop().create_task(self._check_gone(load))
+            self._checks[id] = check
+            check.add_done_callback(lambda _: self._checks.pop(id, None))
+        return await asyncio.shield(check)
+
+    async def _check_gone(self, load: BackendLoad) -> bool:
         is_listening = await self._client.is_listening(load, CHECK_TIMEOUT_S)
         if is_listening:
             await self._timer.sleep(CHECK_SETTLE_S)
--- a/src/crocusward/relay/_exchange.py
+++ b/src/crocusward/relay/_exchange.py
@@ -83,7 +83,8 @@
         observation: What was observed of the server.
         answer: The answer to pass on, or None.
         reason: Short description for logs and metrics.
-        is_cut: Whether the connection ended before a byte of an answer.
+        is_cut: Whether the connection ended before a complete answer.
+        is_close_delimited: Whether the body of the answer ended with the connection.
         evidence: What the end rests on.
         exchange_number: Number of the exchange on its connection, 0 if not written.
         skipped_answers: Number of answers to other requests that were skipped.
@@ -97,6 +98,7 @@
         "answer",
         "reason",
         "is_cut",
+        "is_close_delimited",
         "evidence",
         "exchange_number",
         "skipped_answers",
@@ -118,6 +120,7 @@
         self.answer = answer
         self.reason = reason
         self.is_cut = is_cut
+        self.is_close_delimited = False
         self.evidence = evidence
         self.exchange_number = 0
         self.skipped_answers = 0
@@ -130,6 +133,20 @@
         return self.answer is not None and self.answer.status < 500
 
 
+def make_cut(answered: Exchange) -> Exchange:
+    """Return the end of an exchange whose answer a crash of the server cut short."""
+    backend = answered.observation.backend
+    cut = Exchange(
+        ExchangeEnd.UNKNOWN,
+        BackendObservation(backend, ObservationKind.FAILED),
+        reason="the server crashed before the end of its answer was known",
+        is_cut=True,
+    )
+    cut.exchange_number = answered.exchange_number
+    cut.skipped_answers = answered.skipped_answers
+    return cut
+
+
 class BackendClient:
     """Sends requests to backend servers, each once, without retries.
 
@@ -215,6 +232,7 @@
             return exchange
         exchange = _read_answer(entry.id, answer, req)
         exchange.exchange_number = answer.exchange_number
+        exchange.is_close_delimited = answer.is_close_delimited
         exchange.skipped_answers = answer.skipped_answers
         exchange.observation.asked_s = asked_s
         exchange.observation.answered_s = boot_time_s()
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -23,7 +23,7 @@
 from ..upstream import AnswerMemoryBudget
 from ._caller import DEFAULT_LIMITS
 from ._crash_watch import CRASHES_SERVERS, CrashWatch
-from ._exchange import BackendClient, Exchange, ExchangeEnd
+from ._exchange import BackendClient, Exchange, ExchangeEnd, make_cut
 from ._hedging import LosingAttempts
 from ._messages import CallerAnswer, CallerRequest, make_refusal
 from ._notice_tracker import NoticeTracker
@@ -467,9 +467,19 @@
         result = await self._client.send(
             load, call.req, left_s, before_write=check_before_write
         )
+        if result.is_close_delimited and await self._has_crashed(load):
+            # Nothing else tells a whole answer from one that a crash has cut.
+            result = make_cut(result)
         result.send_number = attempt.number
         return result
 
+    async def _has_crashed(self, load: BackendLoad) -> bool:
+        """Return whether a server is gone that is not leaving."""
+        is_listed = self._load_table.loads.get(load.entry.id) is load
+        if load.entry.leaving or not is_listed:
+            return False
+        return await self._crash_watch.is_gone(load)
+
     def _on_exchange_end(
         self, call: Call, attempt: Attempt, task: "asyncio.Task[Exchange]"
     ) -> None:
--- a/src/crocusward/upstream/_connection.py
+++ b/src/crocusward/upstream/_connection.py
@@ -25,10 +25,10 @@
 # as callers may send a refused request again. 32 take about 3 KB.
 MAX_FAILED_IDS = 32
 MAX_RECENT_IDS = 8  # with other answers; a caller seldom uses the id of one again
-# Codes of the errors of exchanges in which no byte of an answer arrived.
-SILENT = "silent"  # in time
-CUT = "cut"  # before the connection ended
-LATE = "late"  # code of the error of an exchange whose answer was begun in time only
+# Codes of the errors of exchanges without a complete answer.
+SILENT = "silent"  # no byte of one arrived in time
+LATE = "late"  # one was begun in time only
+CUT = "cut"  # the connection ended first, whatever had arrived
 _NO_BODY_STATUSES = frozenset({204, 304})
 
 Headers = list[tuple[bytes, bytes]]
@@ -67,6 +67,7 @@
         match: Which request it names, or None if that was not examined.
         exchange_number: Number of its exchange on the connection, from 1.
         skipped_answers: Number of answers to other requests that came before it.
+        is_close_delimited: Whether its body ended with the connection.
     """
 
     __slots__ = (
@@ -76,6 +77,7 @@
         "match",
         "exchange_number",
         "skipped_answers",
+        "is_close_delimited",
     )
 
     def __init__(
@@ -87,6 +89,7 @@
         match: AnswerMatch | None = None,
         exchange_number: int = 0,
         skipped_answers: int = 0,
+        is_close_delimited: bool = False,
     ) -> None:
         self.status = status
         self.headers = headers
@@ -94,6 +97,7 @@
         self.match = match
         self.exchange_number = exchange_number
         self.skipped_answers = skipped_answers
+        self.is_close_delimited = is_close_delimited
 
 
 class HttpConnection(asyncio.BufferedProtocol):
@@ -163,6 +167,7 @@
         "_is_skipping",
         "_skips_left",
         "_allow_close_delimited",
+        "_is_close_delimited",
     )
 
     def __init__(
@@ -217,6 +222,7 @@
         self._has_length = False
         self._keep_alive = False
         self._is_skipping = False
+        self._is_close_delimited = False
 
     # Called by the pool.
 
@@ -369,17 +375,15 @@
         if self._allow_close_delimited and self._has_head and not self._has_length:
             self._is_complete = True
             self._keep_alive = False
+            self._is_close_delimited = True
             self._complete_exchange(memoryview(b""))
-        self._fail("the server closed the connection", self._end_code())
+        self._fail("the server closed the connection", CUT)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange in progress."""
         reason = f"the connection broke: {exc}" if exc else "the connection closed"
-        self._close(reason, self._end_code(), was_reset=exc is not None)
-
-    def _end_code(self) -> str | None:
-        return None if self._has_received else CUT
+        self._close(reason, CUT, was_reset=exc is not None)
 
     # Callbacks of httptools.HttpResponseParser.
 
@@ -489,6 +493,7 @@
                     match=self._match,
                     exchange_number=self.exchange_count,
                     skipped_answers=MAX_SKIPPED_ANSWERS - self._skips_left,
+                    is_close_delimited=self._is_close_delimited,
                 )
             )
 
