Count crashes that leave silence, follow an answer, or change their caller

Change: silent runs are remembered, and count when the server's entry names a later start, which a cut network does not bring. A server that ends a connection within 0.1 s of an answer is checked, and a request is cleared only after its server has lived on for 0.25 s. The first crash under each caller counts for the request without its caller too. The weaker signs count a third time only for a run that had its server alone, so that a data centre without power blocks no innocent request.

The three are one commit, since they share the record of runs.

--- a/src/crocusward/crashes/__init__.py
+++ b/src/crocusward/crashes/__init__.py
@@ -3,7 +3,13 @@
 Nothing here does I/O; callers pass the time in.
 """
 
-from ._identity import DIGEST_BYTES, crash_id, request_digest, target_digest
+from ._identity import (
+    DIGEST_BYTES,
+    crash_id,
+    request_digest,
+    request_digests,
+    target_digest,
+)
 from ._registry import (
     MAX_CRASHES,
     CrashedRequest,
@@ -19,5 +25,6 @@
     "CrashedRequest",
     "crash_id",
     "request_digest",
+    "request_digests",
     "target_digest",
 ]
--- a/src/crocusward/crashes/_identity.py
+++ b/src/crocusward/crashes/_identity.py
@@ -44,6 +44,22 @@
     return target_digest(method, host, target) + rest.digest()
 
 
+def request_digests(
+    method: str,
+    host: str,
+    target: str,
+    headers: Iterable[tuple[bytes, bytes]],
+    body: bytes,
+) -> tuple[bytes, ...]:
+    """Return the digest of a request, and that without its caller if it names one.
+
+    The second one is for callers whose credentials differ each time.
+    """
+    named = [item for item in headers if item[0] in CALLER_HEADERS]
+    own = request_digest(method, host, target, named, body)
+    return (own, request_digest(method, host, target, (), body)) if named else (own,)
+
+
 def crash_id(server: str, started_unix_ms: int) -> bytes:
     """Return the id of the crash of one run of a server, the same on all hosts."""
     text = f"{server} {started_unix_ms}"
--- a/src/crocusward/relay/_crash_watch.py
+++ b/src/crocusward/relay/_crash_watch.py
@@ -8,20 +8,27 @@
     MAX_CRASHES,
     CrashRegistry,
     crash_id,
-    request_digest,
+    request_digests,
     target_digest,
 )
+from ..desired import BackendEntry, Directory
 from ..logs import EventSampler, Level
 from ..neighbours import BackendObservation, ObservationKind
 from ..placing import BackendLoad, Refused
 from ..timing import TimerService
 from ._exchange import BackendClient
 from ._messages import CallerRequest
+from ._run_history import Run, RunHistory, is_restart
 
 CHECK_TIMEOUT_S = 0.3  # of a connection to a server that lost a request
 # A process that ends closes its sockets one by one, so that a connection opened in
 # between is closed again.
 CHECK_SETTLE_S = 0.02
+# A server that lives so long after an answer has survived the request. This outlasts
+# the check of one that ends at once.
+SURVIVAL_S = 0.25
+NOTE_DELAY_S = 0.005  # the end of a connection may be seen before its last answer
+MAX_HASHED_ANSWERED_BYTES = 1 << 20  # longer bodies of answered requests are not hashed
 CRASHES_SERVERS = "crashes_servers"
 DIGEST_SHOWN_CHARS = 16
 
@@ -30,8 +37,13 @@
     """Counts crashes of servers under requests, and knows which may still run.
 
     A connection that ends without a complete answer is no crash by itself: the server
-    must also refuse new connections, which one behind a cut network does not. All
-    requests that a crash ended become suspects; the answer of a run clears one again.
+    must also refuse new connections, which one behind a cut network does not. A server
+    that falls silent has crashed if it starts again soon. One that ends right after an
+    answer has crashed under its request. All requests that a crash ended become
+    suspects; one that a server survives is none.
+
+    Silence and an end after an answer are weaker signs, and several servers may end at
+    the same moment for another reason. They block a request only if it ran alone.
 
     Args:
         registry: Counts the crashes.
@@ -55,6 +67,8 @@
         "_sampler",
         "_notify",
         "_checks",
+        "_history",
+        "_directory",
     )
 
     def __init__(
@@ -73,6 +87,13 @@
         self._sampler = sampler
         self._notify = notify
         self._checks: dict[str, asyncio.Task[bool]] = {}
+        self._history = RunHistory()
+        self._directory: Directory | None = None
+
+    def follow(self, directory: Directory) -> None:
+        """Learn from entries which silent servers have started again."""
+        self._directory = directory
+        directory.subscribe_backends(self._on_backend)
 
     def find(self, req: CallerRequest) -> bytes | None:
         """Return the digest of a request under which a server crashed, or None.
@@ -85,7 +106,7 @@
             target_digest(req.method, req.host, req.target)
         ):
             return None
-        digest = _digest(req)
+        digest = max(_digests(req), key=self.registry.count)
         return digest if self.registry.count(digest) else None
 
     def count(self, digest: bytes | None) -> int:
@@ -122,31 +143,78 @@
 
         The check goes on if the caller leaves.
         """
-        return asyncio.get_running_loop().create_task(
-            self._examine(req, request_id, load)
-        )
+        run = self._make_run(req, request_id, load, was_alone=True)
+        return asyncio.get_running_loop().create_task(self._examine([run]))
 
-    async def _examine(
-        self, req: CallerRequest, request_id: str, load: BackendLoad
-    ) -> None:
-        if not await self.is_gone(load):
-            return
-        entry = load.entry
+    async def _examine(self, runs: list[Run]) -> None:
+        """Count the runs as crashed if their server is gone."""
+        if runs and await self.is_gone(runs[0].load):
+            for run in runs:
+                self._count(run, "gone")
+
+    def _make_run(
+        self, req: CallerRequest, request_id: str, load: BackendLoad, was_alone: bool
+    ) -> Run:
+        return Run(_digests(req), request_id, load, was_alone, self._timer.now())
+
+    def _count(self, run: Run, sign: str) -> None:
+        """Count a crash under a request.
+
+        Args:
+            run: The run that the crash ended.
+            sign: What showed the crash, for logs.
+        """
+        entry = run.load.entry
         crash = crash_id(entry.id, entry.started_unix_ms)
-        digest = _digest(req)
-        was_blocked = self.registry.is_blocked(digest)
-        if self.registry.add_crash(digest, crash):
+        is_first = not self.registry.count(run.digests[0])
+        # The digest without the caller counts callers, not their tries.
+        for digest in run.digests if is_first else run.digests[:1]:
+            known = self.registry.count(digest)
+            if not run.was_alone and known >= MAX_CRASHES - 1:
+                self.events["crash_beside_others"] += 1
+                continue
+            was_blocked = self.registry.is_blocked(digest)
+            if not self.registry.add_crash(digest, crash):
+                continue
             self.events["crash_counted"] += 1
             self._sampler.log(
                 "crash_counted",
                 Level.WARNING,
-                id=request_id,
+                id=run.request_id,
                 digest=show_digest(digest),
                 backend=entry.id,
+                sign=sign,
                 crashes=self.registry.count(digest),
             )
             self._tell(digest, was_blocked)
 
+    def note_silent(
+        self, req: CallerRequest, request_id: str, load: BackendLoad, was_alone: bool
+    ) -> None:
+        """Remember a request whose server fell silent, which may have crashed."""
+        run = self._make_run(req, request_id, load, was_alone)
+        entries = self._directory.backends.values() if self._directory else ()
+        if any(is_restart(load.entry, entry) for entry in entries):
+            self._count(run, "restarted")
+        else:
+            self._history.lost.append(run)
+
+    def _on_backend(self, old: BackendEntry | None, new: BackendEntry | None) -> None:
+        if new is not None:
+            for run in self._history.take_restarted(new, self._timer.now()):
+                self._count(run, "restarted")
+
+    def on_idle_end(self, address: str, port: int) -> None:
+        """Find out whether a server that ended a connection has crashed."""
+        at_s = self._timer.now()
+
+        def examine_answered() -> None:
+            runs = self._history.take_answered((address, port), at_s)
+            if runs:
+                asyncio.get_running_loop().create_task(self._examine(runs))
+
+        self._timer.call_later(NOTE_DELAY_S, examine_answered)
+
     def _tell(self, digest: bytes, was_blocked: bool) -> None:
         for observer in self.observers:
             observer(digest, was_blocked)
@@ -174,18 +242,33 @@
         )
         return True
 
-    def note_answer(self, digest: bytes, request_id: str, load: BackendLoad) -> None:
-        """Clear a request that a server survived."""
-        was_blocked = self.registry.is_blocked(digest)
-        if self.registry.clear(digest):
-            self.events["crash_cleared"] += 1
-            self._sampler.log(
-                "crash_cleared",
-                id=request_id,
-                digest=show_digest(digest),
-                backend=load.entry.id,
-            )
-            self._tell(digest, was_blocked)
+    def note_answer(
+        self, req: CallerRequest, request_id: str, load: BackendLoad, was_alone: bool
+    ) -> None:
+        """Clear a request once its server has survived its answer for a while."""
+        if len(req.body) <= MAX_HASHED_ANSWERED_BYTES:
+            run = self._make_run(req, request_id, load, was_alone)
+            self._history.add_answered(run)
+        if self.find(req) is not None:
+            run = self._make_run(req, request_id, load, was_alone)
+            self._timer.call_later(SURVIVAL_S, lambda: self._clear(run))
+
+    def _clear(self, run: Run) -> None:
+        entry = run.load.entry
+        crash = crash_id(entry.id, entry.started_unix_ms)
+        if any(self.registry.has_crash(digest, crash) for digest in run.digests):
+            return
+        for digest in run.digests:
+            was_blocked = self.registry.is_blocked(digest)
+            if self.registry.clear(digest, self._timer.now() - run.ended_s):
+                self.events["crash_cleared"] += 1
+                self._sampler.log(
+                    "crash_cleared",
+                    id=run.request_id,
+                    digest=show_digest(digest),
+                    backend=entry.id,
+                )
+                self._tell(digest, was_blocked)
 
     def release(self, digest_text: str) -> int:
         """Release requests by the beginning of their digest, as operators ask for.
@@ -209,8 +292,8 @@
         return count
 
 
-def _digest(req: CallerRequest) -> bytes:
-    return request_digest(req.method, req.host, req.target, req.headers, req.body)
+def _digests(req: CallerRequest) -> tuple[bytes, ...]:
+    return request_digests(req.method, req.host, req.target, req.headers, req.body)
 
 
 def show_digest(digest: bytes) -> str:
--- a/src/crocusward/relay/_exchange.py
+++ b/src/crocusward/relay/_exchange.py
@@ -84,6 +84,7 @@
         answer: The answer to pass on, or None.
         reason: Short description for logs and metrics.
         is_cut: Whether the connection ended before a complete answer.
+        is_silent: Whether the time was over before a complete answer.
         is_close_delimited: Whether the body of the answer ended with the connection.
         evidence: What the end rests on.
         exchange_number: Number of the exchange on its connection, 0 if not written.
@@ -98,6 +99,7 @@
         "answer",
         "reason",
         "is_cut",
+        "is_silent",
         "is_close_delimited",
         "evidence",
         "exchange_number",
@@ -120,6 +122,7 @@
         self.answer = answer
         self.reason = reason
         self.is_cut = is_cut
+        self.is_silent = False
         self.is_close_delimited = False
         self.evidence = evidence
         self.exchange_number = 0
@@ -227,6 +230,7 @@
                 reason=str(exc),
                 is_cut=exc.code == CUT,
             )
+            exchange.is_silent = is_silent
             exchange.exchange_number = exc.exchange_number
             exchange.skipped_answers = exc.skipped_answers
             return exchange
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -504,18 +504,28 @@
             load.observe(observation, self._now())
             self._rate_limits.observe(load, observation, call.selection_req.id)
             self._notices.observe(load, observation, call.selection_req.id)
-            if result.is_cut:
-                call.crash_check = self._crash_watch.examine(
-                    call.req, call.selection_req.id, load
-                )
-            elif result.end is ExchangeEnd.ANSWERED:
-                digest = call.digest or self._crash_watch.find(call.req)
-                if digest is not None:
-                    self._crash_watch.note_answer(digest, call.selection_req.id, load)
+            self._watch_for_crash(call, selection, result)
             self._log.log_ejection_change(call, load, observation, was_ejected)
         self._notifier.notify_change(load, observation)
         self.dispatch_queued(call.selection_req.service)
 
+    def _watch_for_crash(
+        self, call: Call, selection: Selection, result: Exchange
+    ) -> None:
+        watch, request_id, load = (
+            self._crash_watch,
+            call.selection_req.id,
+            selection.load,
+        )
+        assert load is not None
+        was_alone = selection.held_slots > 0 or load.entry.slots == 1
+        if result.is_cut:
+            call.crash_check = watch.examine(call.req, request_id, load)
+        elif result.is_silent:
+            watch.note_silent(call.req, request_id, load, was_alone)
+        elif result.end is ExchangeEnd.ANSWERED:
+            watch.note_answer(call.req, request_id, load, was_alone)
+
     def _update_estimates(
         self, call: Call, selection: Selection, result: Exchange, begun_s: float
     ) -> None:
--- a/src/crocusward/upstream/_pool.py
+++ b/src/crocusward/upstream/_pool.py
@@ -22,10 +22,13 @@
 class _Endpoint:
     """Connections to one address; ``open_count`` includes those being opened."""
 
-    __slots__ = ("host", "idle", "open_count", "limit")
+    __slots__ = ("address", "port", "host", "idle", "open_count", "limit")
 
-    def __init__(self, host: bytes) -> None:
-        self.host = host
+    def __init__(self, address: str, port: int) -> None:
+        self.address = address
+        self.port = port
+        name = f"[{address}]:{port}" if ":" in address else f"{address}:{port}"
+        self.host = name.encode("ascii")
         self.idle: list[HttpConnection] = []
         self.open_count = 0
         self.limit: int | None = None
@@ -50,6 +53,8 @@
         skipped_answers: Number of answers skipped as belonging to other requests.
         pacer: Paces the reads of fragmented answers.
         memory_budget: Limits the total size of incomplete answers, or None.
+        on_idle_end: Called with address and port when a server has ended a connection
+            that was idle, or had just carried a complete answer; or None.
     """
 
     __slots__ = (
@@ -59,6 +64,7 @@
         "skipped_answers",
         "pacer",
         "memory_budget",
+        "on_idle_end",
         "_reuse",
         "_timer",
         "_idle_s",
@@ -83,6 +89,7 @@
         self.silent_connections = 0
         self.distrusted_connections = 0
         self.skipped_answers = 0
+        self.on_idle_end: Callable[[str, int], object] | None = None
         self._reuse = reuse
         self.memory_budget = memory_budget
         self.pacer = ReadPacer(timer)
@@ -226,10 +233,7 @@
     def _get_endpoint(self, address: str, port: int) -> _Endpoint:
         endpoint = self._endpoints.get((address, port))
         if endpoint is None:
-            name = f"[{address}]:{port}" if ":" in address else f"{address}:{port}"
-            endpoint = self._endpoints[(address, port)] = _Endpoint(
-                name.encode("ascii")
-            )
+            endpoint = self._endpoints[(address, port)] = _Endpoint(address, port)
         return endpoint
 
     def _limit(self, endpoint: _Endpoint) -> int:
@@ -272,6 +276,8 @@
         self, endpoint: _Endpoint, conn: HttpConnection, answer: HttpAnswer
     ) -> None:
         if conn.is_closed:
+            if conn.was_ended_by_server and self.on_idle_end is not None:
+                self.on_idle_end(endpoint.address, endpoint.port)
             return
         if (
             self._is_closed
@@ -333,6 +339,8 @@
             endpoint.open_count -= 1
             if conn in endpoint.idle:
                 endpoint.idle.remove(conn)
+                if conn.was_ended_by_server and self.on_idle_end is not None:
+                    self.on_idle_end(address, port)
 
         loop = asyncio.get_running_loop()
         family = socket.AF_INET6 if ":" in address else socket.AF_INET
--- a/tests/entry_support.py
+++ b/tests/entry_support.py
@@ -129,6 +129,8 @@
             sampler,
             lambda load, observation: None,
         )
+        self.crash_watch.follow(self.directory)
+        self.pool.on_idle_end = self.crash_watch.on_idle_end
         self.relay = Relay(
             self.timer,
             self.directory,
--- a/tests/test_crash_moments.py
+++ b/tests/test_crash_moments.py
@@ -2,11 +2,17 @@
 
 import asyncio
 import contextlib
+import itertools
 import socket
 import struct
+import unittest
 from unittest import mock
 
-from crocusward.relay import BackendClient
+from crocusward.crashes import CrashRegistry
+from crocusward.logs import EventSampler
+from crocusward.relay import BackendClient, CallerRequest, CrashWatch, SlotFinder
+from crocusward.relay._crash_watch import _digests
+from crocusward.relay._run_history import Run
 
 from .entry_support import backend, desired, reply, route
 from .scripted_server import ScriptedServer
@@ -20,7 +26,7 @@
 
 def find_moments(id):
     """Return the bytes of an answer that a server has sent when it crashes."""
-    whole = reply(id, b"a body of some length")
+    whole = whole_answer(id)
     head_size = whole.index(b"\r\n\r\n") + 4
     hints = EARLY_HINTS % id.encode()
     return {
@@ -37,12 +43,16 @@
     }
 
 
+def whole_answer(id):
+    return reply(id, b"a body of some length")
+
+
 class CrashingServer(ScriptedServer):
     """Sends the beginning of an answer, and crashes or only ends the connection."""
 
     def __init__(self, moment, *, is_crash=True, is_reset=False):
         super().__init__()
-        self.moment = moment
+        self.moment = moment  # None: after a whole answer
         self.is_crash = is_crash
         self.is_reset = is_reset
         self.runs = 0
@@ -51,7 +61,8 @@
         head = (await reader.readuntil(b"\r\n\r\n")).lower()
         id = head.partition(b"crocusward-request-id: ")[2].split(b"\r\n")[0].decode()
         self.runs += 1
-        writer.write(find_moments(id)[self.moment])
+        sent = find_moments(id)[self.moment] if self.moment else whole_answer(id)
+        writer.write(sent)
         await writer.drain()
         await asyncio.sleep(0.01)
         if self.is_crash:
@@ -131,3 +142,146 @@
             await asyncio.sleep(0.005)
             relay.directory.set_backend("b0", entry)
             self.assertEqual((await client.raw.read()).status, 200)
+
+
+class SilentCrashTest(RelayTestCase):
+    """Guards against crashes that leave the server's machine silent."""
+
+    state = desired(route(max_attempts=1, timeout_s=0.15), ORDER)
+
+    async def play(self, restart, slots=1):
+        """Let servers fall silent under a request; ``restart`` changes their entries.
+
+        Returns:
+            The number of crashes that count after each request.
+        """
+        counts = []
+        async with self.relay(state=self.state) as relay:
+            for number in range(5):
+                async with ScriptedServer([5.0]) as server:
+                    entry = backend(
+                        f"i-{number}",
+                        port=server.port,
+                        slots=slots,
+                        started_unix_ms=1000 + number,
+                    )
+                    relay.directory.set_backend(entry.id, entry)
+                    client = await relay.client()
+                    await client.ask("PUT", "/look/deadly", id=f"q{number}", body=b"b")
+                    restart(relay.directory, entry)
+                    (count,) = {
+                        len(record.crashes_s)
+                        for record in relay.crash_watch.registry.records.values()
+                    } or {0}
+                    counts.append(count)
+                    relay.directory.set_backend(entry.id, None)
+        return counts
+
+    async def test_server_that_starts_again_after_silence_has_crashed(self):
+        def with_its_id(directory, entry):
+            again = backend(entry.id, port=entry.address[1], started_unix_ms=9000)
+            directory.set_backend(entry.id, again)
+
+        def with_another_id(directory, entry):
+            again = backend("new", port=entry.address[1], started_unix_ms=9000)
+            directory.set_backend("new", again)
+            directory.set_backend("new", None)
+
+        for restart in (with_its_id, with_another_id):
+            with self.subTest(restart=restart.__name__):
+                self.assertEqual(await self.play(restart), [1, 2, 3, 3, 3])
+
+    async def test_cut_network_blocks_nothing(self):
+        """Guards against blocks of what was in flight when a network was cut."""
+
+        def lapsed_and_back(directory, entry):
+            directory.set_backend(entry.id, None)
+            directory.set_backend(entry.id, entry)
+
+        self.assertEqual(await self.play(lapsed_and_back), [0] * 5)
+
+    async def test_servers_that_end_together_block_no_request_beside_others(self):
+        """Guards against blocks when a data centre loses power."""
+
+        def with_its_id(directory, entry):
+            again = backend(entry.id, port=entry.address[1], started_unix_ms=9000)
+            directory.set_backend(entry.id, again)
+
+        with mock.patch.object(SlotFinder, "find_quiet", find_beside_others):
+            counts = await self.play(with_its_id, slots=3)
+        self.assertEqual(counts, [1, 2, 2, 2, 2])
+
+
+async def find_beside_others(finder, req, *, must_be_alone):
+    """Find a slot as if no server could be had alone."""
+    return await finder.find(req)
+
+
+class AnsweredCrashTest(RelayTestCase):
+    """Guards against crashes right after an answer that was whole."""
+
+    state = desired(route(max_attempts=1), ORDER)
+
+    async def play(self, *, is_crash):
+        servers = [CrashingServer(None, is_crash=is_crash) for _ in range(5)]
+        async with contextlib.AsyncExitStack() as stack:
+            for server in servers:
+                await stack.enter_async_context(server)
+            relay = await stack.enter_async_context(
+                self.relay(*servers, state=self.state)
+            )
+            for number in range(5):
+                client = await relay.client()
+                await client.ask("PUT", "/look/deadly", id=f"q{number}", body=b"b")
+                await asyncio.sleep(0.4)
+            return sum(s.runs for s in servers), relay.crash_watch
+
+    async def test_third_crash_ends_a_request_that_is_answered(self):
+        runs, watch = await self.play(is_crash=True)
+        self.assertEqual((runs, watch.events["crash_counted"]), (3, 3))
+
+    async def test_closed_connections_after_answers_are_no_crashes(self):
+        runs, watch = await self.play(is_crash=False)
+        self.assertEqual((runs, watch.registry.records), (5, {}))
+
+
+class ChangingCallerTest(unittest.TestCase):
+    """Guards against callers whose credentials differ each time."""
+
+    def setUp(self):
+        self.registry = CrashRegistry(lambda: 1.0)
+        self.watch = CrashWatch(
+            self.registry, None, None, EventSampler(lambda: 1.0, 0), lambda *_: None
+        )
+        self.starts = itertools.count(1)
+
+    def crash(self, caller):
+        load = mock.Mock(entry=backend(started_unix_ms=next(self.starts)))
+        digests = _digests(self.ask(caller))
+        self.watch._count(Run(digests, "q", load, True, 1.0), "gone")
+
+    def ask(self, caller):
+        headers = [(b"authorization", caller)] if caller else []
+        return CallerRequest(
+            "GET", "/x", "h", headers, id=b"q", received_s=0.0, time_left_s=None
+        )
+
+    def is_blocked(self, caller):
+        digest = self.watch.find(self.ask(caller))
+        return digest is not None and self.registry.is_blocked(digest)
+
+    def test_three_crashes_under_three_credentials_block_the_request(self):
+        for caller in (b"a", b"b", b"c"):
+            self.crash(caller)
+        self.assertTrue(self.is_blocked(b"d"))
+
+    def test_crashes_of_one_caller_block_no_other(self):
+        for _ in range(5):
+            self.crash(b"a")
+        self.assertTrue(self.is_blocked(b"a"))
+        self.assertFalse(self.is_blocked(b"b"))
+        self.assertFalse(self.is_blocked(b""))
+
+
+if __name__ == "__main__":
+    unittest.main()
