Keep orders that a restored store has lost until they are written again

Cause: rows that a restored table lacks were kept for the time in which servers' entries come back by heartbeats. Orders come back when their writer writes again, at any time.

Change: the replica of the operators' table stays as it was, row by row, until a row is written or removed in the new era, or until 60 s after the first write of any of them. That holds for rows that the copy lacks and for older ones that it brings back. Removals in it are no longer deferred after an outage. Hosts that start learn lost rows from neighbours and from a host of another data centre. Pages between hosts have an optional last field, which hosts of the build before ignore.

--- a/src/crocusward/desired/_table_replica.py
+++ b/src/crocusward/desired/_table_replica.py
@@ -1,5 +1,6 @@
 """Replica of a platform table that never goes back to an older position."""
 
+import math
 from collections.abc import Iterable
 
 from ._past_rows import PastRows
@@ -8,6 +9,9 @@
 
 MAX_TOMBSTONES = 2000  # removals kept for neighbours that are behind
 FIRST_VERSION = 0  # of a kept row that the restored table lacks
+# Operators write what a restored table lacks one by one. What is missing so long after
+# their first write was taken back while the store had lost it.
+WRITER_SETTLE_S = 60.0
 
 
 class TableReplica:
@@ -27,15 +31,22 @@
     ``defer_removals`` keeps such rows until a given time; rows that are still missing
     then are removed.
 
+    Rows of operators do not expire, and come back only when their writer writes them
+    again, at any time. With ``waits_for_writer`` the replica stays as it was before a
+    restore, row by row, until the row is written or removed in the new era, or until
+    ``WRITER_SETTLE_S`` after the first write of any row in it.
+
     A complete page tells what is in the table, not what was removed before. So the
     replica knows all changes only from the version of its last complete page on; a
     neighbour with an older position gets a complete page in its turn.
 
     Args:
         name: Name of the table.
+        waits_for_writer: Whether rows come back only when operators write them again.
 
     Attributes:
         name: Name of the table.
+        waits_for_writer: See above.
         era: Era of the replica.
         version: Version of the replica; ``NO_VERSION`` before the first complete page.
         history_start: Version after which the replica knows all changes.
@@ -45,6 +56,7 @@
 
     __slots__ = (
         "name",
+        "waits_for_writer",
         "era",
         "version",
         "history_start",
@@ -56,10 +68,12 @@
         "_defer_until_s",
         "_withheld",
         "_withhold_until_s",
+        "_settled_s",
     )
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, *, waits_for_writer: bool = False) -> None:
         self.name = name
+        self.waits_for_writer = waits_for_writer
         self.era = NO_ERA
         self.version = NO_VERSION
         self.history_start = NO_VERSION
@@ -71,20 +85,52 @@
         self._defer_until_s = -1.0
         self._withheld: dict[str, RowChange] = {}
         self._withhold_until_s = -1.0
+        self._settled_s = math.inf  # when rows that wait for their writer end
 
     @property
     def position(self) -> TablePosition:
         """Position of the replica."""
         return TablePosition(self.era, self.version)
 
+    @property
+    def lost_keys(self) -> list[str]:
+        """Keys of the rows in force that the restored table lacks."""
+        return [key for key, r in self._rows.items() if r.version == FIRST_VERSION]
+
+    @property
+    def withheld_keys(self) -> list[str]:
+        """Keys of the rows of the restored table that are not in force yet."""
+        return list(self._withheld)
+
+    @property
+    def deferred_keys(self) -> list[str]:
+        """Keys of the rows whose removal is deferred."""
+        return list(self._deferred)
+
     def defer_removals(self, until_s: float) -> None:
-        """Apply no removal before ``until_s``, in monotonic seconds."""
+        """Apply no removal before ``until_s``, in monotonic seconds.
+
+        Rows that wait for their writer do not expire, so none of their removals is
+        deferred.
+        """
+        if self.waits_for_writer:
+            return
         self._defer_until_s = max(self._defer_until_s, until_s)
 
     def withhold_restored(self, until_s: float) -> None:
         """Take no older row of a restored table before ``until_s``."""
         self._withhold_until_s = max(self._withhold_until_s, until_s)
 
+    def settle(self, at_s: float) -> None:
+        """Take the table as it is in the store from ``at_s`` on, if not earlier."""
+        self._settled_s = min(self._settled_s, at_s)
+
+    def settle_left_s(self, now_s: float) -> float | None:
+        """Return for how long rows wait for their writer, None if that is not known."""
+        if self._settled_s == math.inf:
+            return None
+        return max(0.0, self._settled_s - now_s)
+
     def deferral_left_s(self, now_s: float) -> float:
         """Return for how long removals are still deferred, in seconds."""
         return max(0.0, self._defer_until_s - now_s)
@@ -104,6 +150,11 @@
             accepted = self._enter_era(page)
         else:
             accepted = self._find_newer(page)
+        is_first = self.version < 0
+        if not is_first and any(c.version > FIRST_VERSION for c in accepted):
+            self.settle(now_s + WRITER_SETTLE_S)
+        if page.settle_left_s is not None:
+            self.settle(now_s + page.settle_left_s)
         if page.complete and page.position > self.position:
             self.history_start = page.version
         self.era = page.era
@@ -120,6 +171,8 @@
         """
         if self.version < 0 or page.era != self.era:
             return []
+        if page.settle_left_s is not None:
+            self.settle(now_s + page.settle_left_s)
         present = {change.key for change in page.changes if change.value is not None}
         accepted = [change for change in page.changes if self._should_merge(change)]
         changed = []
@@ -141,11 +194,21 @@
             self._deferred.clear()
         for change in due:
             self._remove(change)
+        if self.waits_for_writer:
+            return self._settle_rows(now_s)
         if self._withheld and now_s >= self._withhold_until_s:
             restored = list(self._withheld.values())
             due += [item for item in restored if self._apply_change(item, now_s)]
         return due
 
+    def _settle_rows(self, now_s: float) -> list[RowChange]:
+        """Return the changes of rows that wait for their writer no longer."""
+        if now_s < self._settled_s:
+            return []
+        changes = [RowChange(key, None, self.version) for key in self.lost_keys]
+        changes += self._withheld.values()
+        return [change for change in changes if self._apply_change(change, now_s)]
+
     def _find_newer(self, page: TablePage) -> list[RowChange]:
         """Return the changes of a page of this era that the replica lacks."""
         accepted = [change for change in page.changes if self._is_newer(change)]
@@ -154,10 +217,17 @@
             accepted += [
                 RowChange(key, None, page.version)
                 for key in [*self._rows, *self._withheld]
-                if key not in present
+                if key not in present and not self._waits_for_writer(key)
             ]
         return accepted
 
+    def _waits_for_writer(self, key: str) -> bool:
+        """Return whether a row stays in force although the store has lost it."""
+        row = self._rows.get(key)
+        if row is None or not self.waits_for_writer:
+            return False
+        return row.version == FIRST_VERSION
+
     def _is_newer(self, change: RowChange) -> bool:
         known = self._deferred.get(change.key) or self._rows.get(change.key)
         known = known or self._tombstones.get(change.key)
@@ -181,6 +251,7 @@
             self._past.add(known)  # under its version of this era
         accepted = []
         self.kept_count = 0
+        self._settled_s = math.inf
         self._withheld.clear()
         tombstones = {
             key: RowChange(key, None, page.version) for key in self._tombstones
@@ -191,7 +262,7 @@
                 self._rows[change.key] = change
             elif change.value is None:
                 accepted.append(change)
-            elif change.key not in copied:
+            elif change.key not in copied or change.version == FIRST_VERSION:
                 accepted.append(change)
             else:
                 self.kept_count += 1
@@ -207,7 +278,8 @@
             if key not in present:
                 self.kept_count += 1
                 self._rows[key] = RowChange(key, row.value, FIRST_VERSION)
-                accepted.append(RowChange(key, None, page.version))
+                if not self.waits_for_writer:
+                    accepted.append(RowChange(key, None, page.version))
             elif key in tombstones:
                 del tombstones[key]
         self._tombstones = tombstones
--- a/src/crocusward/desired/_types.py
+++ b/src/crocusward/desired/_types.py
@@ -410,9 +410,11 @@
         changes: Rows in order.
         complete: Whether these are all rows, so that rows not listed are removed.
         era: Era of the store that the versions belong to.
+        settle_left_s: For how long its sender waits for the writers of lost rows, in
+            seconds; None if it does not know. Pages of the store have none.
     """
 
-    __slots__ = ("version", "changes", "complete", "era")
+    __slots__ = ("version", "changes", "complete", "era", "settle_left_s")
 
     def __init__(
         self,
@@ -421,11 +423,13 @@
         *,
         complete: bool,
         era: int = NO_ERA,
+        settle_left_s: float | None = None,
     ) -> None:
         self.version = version
         self.changes = list(changes)
         self.complete = complete
         self.era = era
+        self.settle_left_s = settle_left_s
 
     @property
     def position(self) -> TablePosition:
--- a/src/crocusward/devtools/entry_soak/_whole_hosts.py
+++ b/src/crocusward/devtools/entry_soak/_whole_hosts.py
@@ -35,6 +35,12 @@
 class WholeFleet:
     """Daemons of several data centres over one network and one store.
 
+    Args:
+        seed: Seed of the network and of all random choices.
+        hosts_per_data_centre: Number of hosts in each data centre.
+        loss: Share of the datagrams that are lost.
+        era: First era of the store; None if it names none.
+
     Attributes:
         network: The network and event loop.
         store: The store.
@@ -44,10 +50,17 @@
         promises: What servers ran and callers got.
     """
 
-    def __init__(self, seed: int, hosts_per_data_centre: int, loss: float = 0.0):
+    def __init__(
+        self,
+        seed: int,
+        hosts_per_data_centre: int,
+        loss: float = 0.0,
+        era: int | None = None,
+    ):
         self.network = SimulatedNetwork(seed, loss)
         self.rng = random.Random(seed)
         self.store = RowsStandin(STORE_IP)
+        self.store.era = era
         self.hosts: dict[str, EntryProcess] = {}
         self.servers: dict[str, Target] = {}
         self.deadly: set[str] = set()
--- a/src/crocusward/entryd/_exposition.py
+++ b/src/crocusward/entryd/_exposition.py
@@ -48,6 +48,7 @@
     for table, follower in process.followers.items():
         age_s = min(1e9, now_s - follower.answered_s)
         lines.append(f'{PREFIX}table_age_seconds{{table="{table}"}} {age_s:.3f}')
+    _add_holds(lines, process, now_s)
     lines.append(f"# TYPE {PREFIX}rate_limit_events_total counter")
     for event, count in process.rate_limits.events.items():
         lines.append(f'{PREFIX}rate_limit_events_total{{event="{event}"}} {count}')
@@ -64,6 +65,21 @@
     return ("\n".join(lines) + "\n").encode("utf-8")
 
 
+def _add_holds(lines: list[str], process: "EntryProcess", now_s: float) -> None:
+    """Add what holds rows of the store's tables back."""
+    copies = [follower.copy for follower in process.followers.values()]
+    metrics: dict[str, list[float]] = {
+        "removal_hold_seconds": [copy.deferral_left_s(now_s) for copy in copies],
+        "removals_held": [len(copy.deferred_keys) for copy in copies],
+        "rows_lost_by_store": [len(copy.lost_keys) for copy in copies],
+        "rows_withheld": [len(copy.withheld_keys) for copy in copies],
+    }
+    for name, values in metrics.items():
+        lines.append(f"# TYPE {PREFIX}{name} gauge")
+        for copy, value in zip(copies, values, strict=True):
+            lines.append(f'{PREFIX}{name}{{table="{copy.name}"}} {value:g}')
+
+
 def _add_connections(lines: list[str], process: "EntryProcess") -> None:
     lines.append(f"# TYPE {PREFIX}linger_ends_total counter")
     for end, count in process.callers.linger_ends.items():
--- a/src/crocusward/entryd/_hub.py
+++ b/src/crocusward/entryd/_hub.py
@@ -306,6 +306,15 @@
         own = self._facts.name
         return [host.address for host in self._hosts.values() if host.host != own]
 
+    def list_remote_addresses(self) -> list[str]:
+        """Return the addresses of hosts of other data centres, the nearest first."""
+        own, regions = self._facts.data_centre, self._facts.regions
+        remote = [host for host in self._hosts.values() if host.data_centre != own]
+        self._rng.shuffle(remote)
+        is_far = {name: region != regions.get(own) for name, region in regions.items()}
+        remote.sort(key=lambda host: is_far.get(host.data_centre, True))
+        return [host.address for host in remote]
+
     def _list_members(self) -> GroupMembers:
         """Return the hosts of this group that can issue permits."""
         live = [
--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -35,6 +35,7 @@
     REPLICATED_TABLES,
     TABLE_BACKENDS,
     TABLE_HOSTS,
+    TABLE_OPERATOR,
     RowClient,
     apply_row_change,
     decode_daemon,
@@ -74,6 +75,10 @@
 # times; the others of a data centre wait for the first one's rows up to the second.
 FIRST_START_DISCOVERY_S = 1.5
 FIRST_START_MAX_WAIT_S = 3.0
+# A host that starts asks hosts of other data centres for rows that the store has lost.
+REMOTE_MERGE_PAUSE_S = 0.5  # hosts of the own data centre are asked first
+MAX_REMOTE_MERGES = 20  # until rows and other hosts of this era are known
+REMOTE_MERGE_HOSTS = 3  # asked one after the other
 STOP_NOTICE_S = 2.6  # the platform checks once a second and needs two failed checks
 LAST_ANSWERS_S = 0.1  # of the margin below, to write the last answers
 STOP_MARGIN_S = 0.3  # left unused at the end of the grace time
@@ -405,6 +410,8 @@
         for follower in self.followers.values():
             self._start_task(follower.run())
         self._start_task(self._register())
+        if not facts.is_first_start:
+            self._start_task(self._merge_from_afar())
         self.timer.every(TICK_PERIOD_S, self._tick)
         self.timer.every(SETTINGS_CHECK_PERIOD_S, self._check_settings)
 
@@ -440,6 +447,16 @@
             self.hub.add_hosts([host for host in hosts if host is not None])
             return
 
+    async def _merge_from_afar(self) -> None:
+        """Learn orders in force that a restored store has lost, once after a start."""
+        for _ in range(MAX_REMOTE_MERGES):
+            await self.timer.sleep(REMOTE_MERGE_PAUSE_S)
+            addresses = self.hub.list_remote_addresses()
+            if addresses and self.followers[TABLE_OPERATOR].copy.version >= 0:
+                hosts = addresses[:REMOTE_MERGE_HOSTS]
+                if await self.row_replicator.merge_from_afar(TABLE_OPERATOR, hosts):
+                    return
+
     async def _register_again(self) -> None:
         await self.timer.sleep(REGISTER_SPREAD_S * self._rng.random())
         facts = self.facts
--- a/src/crocusward/entryd/_reader.py
+++ b/src/crocusward/entryd/_reader.py
@@ -8,7 +8,7 @@
 from ..errors import CrocusError, StoreUnavailableError
 from ..logs import Level, log_event
 from ..neighbours import ReadTimes
-from ..platform import HistoryLostError, RowClient
+from ..platform import TABLE_OPERATOR, HistoryLostError, RowClient
 from ..timing import TimerService
 
 READ_TIMEOUT_S = 1.5
@@ -23,6 +23,7 @@
 RESTORED_HOLD_S = 6.0
 ALL_CHANGES = "all"  # requests all rows and removals
 MAX_MERGE_TRIES = 3
+MAX_LOGGED_ROWS = 16  # named in one line
 
 
 class TableFollower:
@@ -82,7 +83,7 @@
         on_change: Callable[[str, RowChange], None],
         on_version: Callable[[], None],
     ) -> None:
-        self.copy = TableReplica(table)
+        self.copy = TableReplica(table, waits_for_writer=table == TABLE_OPERATOR)
         self.answered_s = -1e9
         self._merge_tries_left = 0
         self._timer = timer
@@ -231,7 +232,8 @@
     def apply_page(self, page: TablePage) -> None:
         """Apply a page from the store or from a neighbour."""
         copy = self.copy
-        before = copy.position
+        before, kept_before = copy.position, self._kept_keys()
+        held_before = set(copy.deferred_keys)
         is_new_era = before.version >= 0 and page.complete and page.era > before.era
         if is_new_era:
             # Entries written since the restored copy are written again soon.
@@ -251,10 +253,48 @@
                 taken=len(changes),
                 kept=copy.kept_count,
             )
+        self._log_kept_rows(kept_before)
+        self._log_held_removals(held_before)
         self._apply_changes(changes)
         if copy.position != before:
             self._on_version()
 
+    def _log_held_removals(self, before: set[str]) -> None:
+        """Log which removals are held back, and for how long."""
+        held = sorted(set(self.copy.deferred_keys) - before)
+        if held:
+            log_event(
+                "removals_held",
+                table=self.copy.name,
+                count=len(held),
+                rows=",".join(held[:MAX_LOGGED_ROWS]),
+                hold_s=self.copy.deferral_left_s(self._timer.now()),
+                reason="they may have expired while the store was away",
+            )
+
+    def _kept_keys(self) -> set[str]:
+        """Return the keys of rows of operators that stay as before a restore."""
+        copy = self.copy
+        if not copy.waits_for_writer:
+            return set()
+        return {*copy.lost_keys, *copy.withheld_keys}
+
+    def _log_kept_rows(self, before: set[str]) -> None:
+        """Log which rows begin or cease to wait for their writer."""
+        after, copy = self._kept_keys(), self.copy
+        for key in sorted(after - before):
+            is_lost = key in copy.lost_keys
+            log_event(
+                "operator_row_kept",
+                Level.WARNING,
+                table=copy.name,
+                row=key,
+                era=copy.era,
+                reason="lost by the store" if is_lost else "older in the store",
+            )
+        for key in sorted(before - after):
+            log_event("operator_row_settled", table=copy.name, row=key, era=copy.era)
+
     @property
     def needs_merge(self) -> bool:
         """Whether the copy was read from the store alone.
@@ -297,7 +337,9 @@
             self.apply_page(page)
             return
         self._merge_tries_left = 0
+        kept_before = self._kept_keys()
         changes = self.copy.merge(page, now_s)
+        self._log_kept_rows(kept_before)
         log_event(
             "neighbour_rows_merged",
             table=self.copy.name,
@@ -325,4 +367,6 @@
 
     def apply_deferred(self) -> None:
         """Apply what was deferred and is due."""
+        kept_before = self._kept_keys()
         self._apply_changes(self.copy.apply_deferred(self._timer.now()))
+        self._log_kept_rows(kept_before)
--- a/src/crocusward/entryd/_row_replicator.py
+++ b/src/crocusward/entryd/_row_replicator.py
@@ -125,6 +125,54 @@
             for source in neighbours.list_sources(table, position, now_s)
         ]
 
+    async def merge_from_afar(self, table: str, addresses: Sequence[str]) -> bool:
+        """Merge the rows of a host of another data centre that knows this era.
+
+        All hosts of a data centre may have started since the store was restored. Such
+        a host knows rows of operators that the store has lost from others only.
+
+        Args:
+            table: Name of the table.
+            addresses: Hosts to ask, one after the other.
+
+        Returns:
+            Whether one of them had rows of this era.
+        """
+        follower = self._followers[table]
+        for address in addresses:
+            began_s = self._timer.now()
+            try:
+                response = await self._pool.request(
+                    address,
+                    self._port,
+                    "GET",
+                    f"{ROWS_PATH}?{table}&{ALL_CHANGES}",
+                    timeout_s=PULL_TIMEOUT_S,
+                    limit_bytes=MAX_PAGE_BYTES,
+                )
+                page, _ = decode_page(response.body)
+            except (CrocusError, ValueError) as exc:
+                self._sampler.log(
+                    "remote_rows_missed",
+                    Level.WARNING,
+                    table=table,
+                    address=address,
+                    took_s=self._timer.now() - began_s,
+                    reason=str(exc),
+                )
+                continue
+            if page.era == follower.copy.era:
+                follower.apply_neighbour_page(page, 0.0, is_merge=True)
+                return True
+            self._sampler.log(
+                "remote_rows_missed",
+                table=table,
+                address=address,
+                took_s=self._timer.now() - began_s,
+                reason=f"its era is {page.era}",
+            )
+        return False
+
     async def _pull(self, table: str, follower: TableFollower) -> None:
         """Ask neighbours, each later than the one before, until one answers."""
         began_s = self._timer.now()
@@ -234,7 +282,9 @@
                     history_start=follower.copy.history_start,
                     rows=len(page.changes),
                 )
-        return encode_page(page, follower.copy.deferral_left_s(self._timer.now()))
+        now_s = self._timer.now()
+        page.settle_left_s = follower.copy.settle_left_s(now_s)
+        return encode_page(page, follower.copy.deferral_left_s(now_s))
 
 
 def encode_page(page: TablePage, hold_s: float) -> bytes:
@@ -245,8 +295,10 @@
     """
     rows = [[item.key, item.version, item.value] for item in page.changes]
     fields: list[object] = [page.version, page.complete, hold_s, rows]
-    if page.era != NO_ERA:
+    if page.era != NO_ERA or page.settle_left_s is not None:
         fields.append(page.era)
+    if page.settle_left_s is not None:
+        fields.append(page.settle_left_s)
     data = cbor2.dumps(fields)
     return zlib.compress(data, COMPRESSION_LEVEL)
 
@@ -262,8 +314,15 @@
         plain = decompressor.decompress(data, MAX_PAGE_BYTES)
         version, complete, hold_s, rows, *rest = cbor2.loads(plain)
         era = int(rest[0]) if rest else NO_ERA
+        settle_left_s = float(rest[1]) if len(rest) > 1 else None
         changes = [RowChange(str(key), value, int(ver)) for key, ver, value in rows]
-        page = TablePage(int(version), changes, complete=bool(complete), era=era)
+        page = TablePage(
+            int(version),
+            changes,
+            complete=bool(complete),
+            era=era,
+            settle_left_s=settle_left_s,
+        )
         return page, float(hold_s)
     except (
         zlib.error,
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -93,7 +93,9 @@
         return {e.id: e.leaving for e in self.directory.backends.values()}
 
 
-class RestoredStoreTest(unittest.IsolatedAsyncioTestCase):
+class RestoredStoreCase(unittest.IsolatedAsyncioTestCase):
+    """Has a store of era 1 with three servers, and a host that follows it."""
+
     async def asyncSetUp(self):
         self.store = RowsStandin()
         self.store.era = 1
@@ -127,6 +129,8 @@
         for number in range(count):
             self.store.put("scratch", OTHER_KEY, b"%d" % number)
 
+
+class RestoredStoreTest(RestoredStoreCase):
     async def test_changes_written_after_the_restore_are_taken(self):
         """Guards against changes that are ignored until the counter has caught up."""
         copy = self.store.copy()
