Refuse answers whose status is none, and interim ones with a body

Cause: each status below 200 was skipped as an interim answer, and the body of a skipped answer was kept for the next one. The parser also reads bodies of 104 to 199 if their head names one.

They are counted by pool. Probes, calls to the store and the own interface use the same connection.

--- a/src/crocusward/entryd/_exposition.py
+++ b/src/crocusward/entryd/_exposition.py
@@ -106,15 +106,17 @@
         count = pacer.pause_count
         lines.append(f'{PREFIX}paced_reads_total{{from="{source}"}} {count}')
     pools = {"store": process.store_pool, "backends": process.backend_pool}
-    for metric in ("silent_connections", "distrusted_connections"):
+    metrics = {
+        "silent_connections": "silent_connections",
+        "distrusted_connections": "distrusted_connections",
+        "answers_skipped": "skipped_answers",
+        "invalid_statuses": "invalid_statuses",
+    }
+    for metric, attribute in metrics.items():
         lines.append(f"# TYPE {PREFIX}{metric}_total counter")
         for to, pool in pools.items():
-            count = getattr(pool, metric)
+            count = getattr(pool, attribute)
             lines.append(f'{PREFIX}{metric}_total{{to="{to}"}} {count}')
-    lines.append(f"# TYPE {PREFIX}answers_skipped_total counter")
-    for to, pool in pools.items():
-        count = pool.skipped_answers
-        lines.append(f'{PREFIX}answers_skipped_total{{to="{to}"}} {count}')
 
 
 def _add_requests(lines: list[str], process: "EntryProcess") -> None:
--- a/src/crocusward/upstream/_connection.py
+++ b/src/crocusward/upstream/_connection.py
@@ -20,6 +20,7 @@
 MAX_SKIPPED_ANSWERS = 8  # mismatched answers in one exchange
 FRAMING_FACTOR = 8  # framing bytes for each body byte, in chunks of one byte
 PEEK_AFTER_IDLE_S = 0.2
+MIN_STATUS, MIN_FINAL_STATUS, MAX_STATUS = 100, 200, 599
 MIN_ERROR_STATUS = 400
 # Ids with error answers on one connection. It then closes instead of forgetting one,
 # as callers may send a refused request again. 32 take about 3 KB.
@@ -29,11 +30,16 @@
 SILENT = "silent"  # no byte of one arrived in time
 LATE = "late"  # one was begun in time only
 CUT = "cut"  # the connection ended first, whatever had arrived
+INVALID_STATUS = "invalid_status"  # one has a status that is none
 _NO_BODY_STATUSES = frozenset({204, 304})
 
 Headers = list[tuple[bytes, bytes]]
 
 
+class InvalidStatusError(ValueError):
+    """An answer has a status outside 100 to 599."""
+
+
 class AnswerMatch(Enum):
     """Which request an answer belongs to."""
 
@@ -356,7 +362,12 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             if not self._is_complete or self._matches is None:
-                self._fail(f"malformed answer: {exc.__context__ or exc}")
+                cause = exc.__context__ or exc
+                is_status = isinstance(
+                    cause, InvalidStatusError | httptools.HttpParserInvalidStatusError
+                )
+                code = INVALID_STATUS if is_status else None
+                self._fail(f"malformed answer: {cause}", code)
                 return
             # The answer is complete and matches its request; only the data after it
             # is malformed.
@@ -415,11 +426,11 @@
     def on_headers_complete(self) -> None:
         """Determine the message framing of the answer."""
         self._status = status = self._parser.get_status_code()
-        if status < 200:
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            raise InvalidStatusError(f"{status:03} is no status")
+        if status < MIN_FINAL_STATUS:
             self._skip_interim_answer(status)
             return
-        if status > 599:
-            raise ValueError("the status code is out of range")
         if self._matches is not None:
             match = self._match = self._matches(self._headers, self)
             if match is AnswerMatch.OTHER:
@@ -448,6 +459,14 @@
     def _skip_interim_answer(self, status: int) -> None:
         if status == 101:
             raise ValueError("the server switched protocols")
+        # Such an answer ends with its head (RFC 9112, 6.3). With these headers the
+        # parser would take what follows for its body.
+        if any(
+            name == b"transfer-encoding" or (name, value) != (b"content-length", b"0")
+            for name, value in self._headers
+            if name in (b"content-length", b"transfer-encoding")
+        ):
+            raise ValueError("an interim answer with a body")
         self._headers = []
         self._has_length = False
 
--- a/src/crocusward/upstream/_pool.py
+++ b/src/crocusward/upstream/_pool.py
@@ -6,7 +6,13 @@
 
 from ..errors import ExchangeLostError, NotSentError
 from ..timing import Subscription, TimerService
-from ._connection import SILENT, HttpAnswer, HttpConnection, MatchRequest
+from ._connection import (
+    INVALID_STATUS,
+    SILENT,
+    HttpAnswer,
+    HttpConnection,
+    MatchRequest,
+)
 from ._encode import encode_request
 from ._headers import parse_digits
 from ._memory import AnswerMemoryBudget
@@ -51,6 +57,7 @@
             arrived in time.
         distrusted_connections: Number of idle connections closed after that.
         skipped_answers: Number of answers skipped as belonging to other requests.
+        invalid_statuses: Number of answers with a status that is none.
         pacer: Paces the reads of fragmented answers.
         memory_budget: Limits the total size of incomplete answers, or None.
         on_idle_end: Called with address and port when a server has ended a connection
@@ -62,6 +69,7 @@
         "silent_connections",
         "distrusted_connections",
         "skipped_answers",
+        "invalid_statuses",
         "pacer",
         "memory_budget",
         "on_idle_end",
@@ -89,6 +97,7 @@
         self.silent_connections = 0
         self.distrusted_connections = 0
         self.skipped_answers = 0
+        self.invalid_statuses = 0
         self.on_idle_end: Callable[[str, int], object] | None = None
         self._reuse = reuse
         self.memory_budget = memory_budget
@@ -177,6 +186,7 @@
             conn.abort()
             if isinstance(exc, ExchangeLostError):
                 self.skipped_answers += exc.skipped_answers
+                self.invalid_statuses += exc.code == INVALID_STATUS
                 exc.reused = conn.exchange_count > 1
                 exc.idle_s = conn.idle_before_s
                 if exc.reused and exc.code == SILENT:
