Fault soak: play offers, crashes in answers, late operators, late readers, odd statuses

Callers offer upgrades in pipelines, chunks and pieces of one byte on kept connections; a request crashes servers at any share of their answer; a store comes back without an order that is written again up to 9 s later; all readers of the store are killed at once, long after an outage, three times; servers answer with statuses that are none. Two checks are new: bodies run as they were sent, and no caller waits after an answer whose status is none.

--- a/src/crocusward/devtools/fault_soak/_callers.py
+++ b/src/crocusward/devtools/fault_soak/_callers.py
@@ -29,6 +29,7 @@
         digest: Digest of the answer.
         kept: Whether the connection had served a request before.
         is_behind: Whether it was sent before an earlier request was answered.
+        sent_body: Its body, or None if that is long.
     """
 
     __slots__ = (
@@ -42,6 +43,7 @@
         "digest",
         "kept",
         "is_behind",
+        "sent_body",
     )
 
     def __init__(self, id: str, path: str, daemon: str, sent_s: float) -> None:
@@ -55,6 +57,7 @@
         self.digest = ""
         self.kept = False
         self.is_behind = False
+        self.sent_body: bytes | None = None
 
 
 async def ask_once(daemon: Daemon, id: str, path: str, asked: list[Asked]) -> None:
@@ -150,6 +153,8 @@
         body = b"" if method == "GET" else b"payload"
         if path.startswith(LONG_BODY_PREFIX):
             body *= LONG_BODY_FACTOR
+        else:
+            item.sent_body = body
         head = (
             f"{method} {path} HTTP/1.1\r\nHost: api.example\r\n"
             f"Crocusward-Request-Id: {item.id}\r\nCrocusward-Deadline-Ms: 1500\r\n"
--- a/src/crocusward/devtools/fault_soak/_checks.py
+++ b/src/crocusward/devtools/fault_soak/_checks.py
@@ -36,6 +36,7 @@
 MIN_FLOOD_SAMPLE = 10  # requests beside a flood, for a median
 MAX_CRASHES = 3  # under one request, until it is known as one that crashes servers
 BLOCKED_TEXT = b"servers crashed under this request"
+ODD_STATUS_S = 0.5  # from an answer whose status is none to that of the daemon
 MAX_LATE_RUNS = 3  # of such a request, sent later than STABLE_S after that
 
 
@@ -108,6 +109,7 @@
         harmed: Times in which the path to a server was harmed, by its id.
         crashes: Path and time of each request that crashed a server.
         floods: Times in which servers send without end.
+        odd_s: When a request got an answer whose status is none, by its id.
         services: Services to which routes ever send, by the beginning of the path.
     """
 
@@ -130,6 +132,7 @@
         self.harmed: dict[str, list[Span]] = {}
         self.crashes: list[tuple[str, float]] = []
         self.floods: list[FloodSpan] = []
+        self.odd_s: dict[str, float] = {}
         self.services: dict[str, set[str]] = SERVICES_OF_PATHS
 
     def broken(self) -> list[str]:
@@ -137,6 +140,8 @@
         found = [
             *self._own_answers(),
             *self._at_most_once(),
+            *self._bodies(),
+            *self._waited(),
             *self._homes(),
             *self._leaving(),
             *self._out(),
@@ -237,6 +242,29 @@
                     found.append(f"not_run: {id} got {item.status} and ran")
         return found
 
+    def _bodies(self) -> list[str]:
+        """Return requests that ran with another body than their caller sent."""
+        asked = {item.id: item for item in self.asked}
+        return [
+            f"body: {run.id} ran with {run.body!r}"
+            for run in self.runs
+            if run.body is not None
+            and (item := asked.get(run.id)) is not None
+            and item.sent_body is not None
+            and run.body != item.sent_body
+        ]
+
+    def _waited(self) -> list[str]:
+        """Return callers that waited on after an answer whose status is none."""
+        runs = Counter(run.id for run in self.runs)
+        return [
+            f"waited: {item.id} got 504 {item.ended_s - odd_s:.2f} s after its answer"
+            for item in self.asked
+            if (odd_s := self.odd_s.get(item.id)) is not None
+            and (item.status, runs[item.id]) == (504, 1)
+            and item.ended_s - odd_s > ODD_STATUS_S
+        ]
+
     def _homes(self) -> list[str]:
         return [
             f"homes: {run.id} ran in {run.data_centre}"
--- a/src/crocusward/devtools/fault_soak/_planted.py
+++ b/src/crocusward/devtools/fault_soak/_planted.py
@@ -9,13 +9,19 @@
 import sys  # noqa: E402
 from collections.abc import Callable  # noqa: E402
 
-from ...entryd import main  # noqa: E402
+import httptools  # noqa: E402
+
+from ...entryd import _reader, main  # noqa: E402
+from ...entryd._process import EntryProcess  # noqa: E402
+from ...framing import RequestParser  # noqa: E402
+from ...neighbours._table import NEVER_S  # noqa: E402
 from ...platform import REQUEST_ID_HEADER  # noqa: E402
 from ...registry import Registry  # noqa: E402
 from ...relay import _exchange  # noqa: E402
 from ...relay._evidence import Evidence  # noqa: E402
 from ...relay._messages import Headers  # noqa: E402
-from ...upstream import AnswerMatch, ConnectionHistory  # noqa: E402
+from ...upstream import CUT, AnswerMatch, ConnectionHistory, _connection  # noqa: E402
+from ...upstream._connection import HttpConnection  # noqa: E402
 
 PLANTS: Registry[Callable[[], None]] = Registry("planted fault")
 
@@ -41,6 +47,60 @@
     _believe(Evidence.UNMARKED_REFUSAL)
 
 
+@PLANTS.register("end-at-offers")
+def end_at_offers() -> None:
+    """End a request that offers an upgrade at its head, and read on with the next."""
+
+    def end(parser: RequestParser) -> None:
+        parser._is_at_offer = False
+        parser._callbacks.on_message_complete()
+        parser._parser = httptools.HttpRequestParser(parser)
+
+    _replace(RequestParser, "_read_on_after_offer", end)
+
+
+@PLANTS.register("count-crashes-without-bytes")
+def count_crashes_without_bytes() -> None:
+    """Take the end of a connection for a crash only if no byte of an answer came."""
+    close = HttpConnection._close
+
+    def close_uncut(
+        conn: HttpConnection, reason: str, code: str | None = None, **options: bool
+    ) -> None:
+        is_begun = code == CUT and conn._has_received
+        close(conn, reason, None if is_begun else code, **options)
+
+    _replace(HttpConnection, "_close", close_uncut)
+
+
+@PLANTS.register("drop-lost-orders")
+def drop_lost_orders() -> None:
+    """Treat rows of operators in a restored table like entries of servers."""
+    _reader.WRITER_TABLES = frozenset()  # type: ignore[assignment]
+
+
+@PLANTS.register("remember-outages")
+def remember_outages() -> None:
+    """Count failures of reads whatever answers other hosts have had since."""
+    _replace(EntryProcess, "_last_answer_elsewhere_s", lambda process: NEVER_S)
+
+
+@PLANTS.register("skip-low-statuses")
+def skip_low_statuses() -> None:
+    """Skip each answer with a status below 200 as an interim one."""
+
+    def skip(conn: HttpConnection, status: int) -> None:
+        conn._headers = []
+        conn._has_length = False
+
+    _connection.MIN_STATUS = -1
+    _replace(HttpConnection, "_skip_interim_answer", skip)
+
+
+def _replace(owner: type, name: str, method: Callable[..., object]) -> None:
+    setattr(owner, name, method)
+
+
 def _believe(believed: Evidence) -> None:
     proofs = {item for item in Evidence if item.proves_not_run} | {believed}
     is_proof = property(lambda item: item in proofs)
--- a/src/crocusward/devtools/fault_soak/_targets.py
+++ b/src/crocusward/devtools/fault_soak/_targets.py
@@ -4,11 +4,11 @@
 import random
 import socket
 from collections import Counter
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 
 from ...model import Record
 from ..standins._flood import FLOODS
-from ..standins._http import Connection, Listener, StandinRequest
+from ..standins._http import Connection, Listener, StandinRequest, encode_answer
 from ._notices import Notices, Pause
 from ._proxy import NO_LINGER
 
@@ -24,6 +24,8 @@
 DOUBTFUL_STATUSES = (503, 429, 421, 408)  # with them a refusal says "not run"
 IDLE_CLOSE_S = 0.1  # at most, until an idle connection gets status 408
 RESET_S = 0.03  # at most, until an answered connection is reset
+CRASH_DELAY_S = 0.01  # from the bytes of an answer to the crash
+ODD_STATUSES = (b"000", b"001", b"099", b"600", b"999", b"104", b"7", b"1000", b"+10")
 SLOWDOWNS_PERCENT = (100, 700)  # of a machine that is shared with others
 
 
@@ -48,9 +50,19 @@
         data_centre: Data centre of the server.
         at_s: When it arrived, in seconds of the loop.
         path: Path of the request.
+        body: Its body, or None if that is long or was not read yet.
     """
 
-    __slots__ = ("id", "host", "server", "service", "data_centre", "at_s", "path")
+    __slots__ = (
+        "id",
+        "host",
+        "server",
+        "service",
+        "data_centre",
+        "at_s",
+        "path",
+        "body",
+    )
 
     def __init__(
         self,
@@ -61,6 +73,7 @@
         data_centre: str,
         at_s: float,
         path: str,
+        body: bytes | None = None,
     ) -> None:
         self.id = id
         self.host = host
@@ -69,6 +82,7 @@
         self.data_centre = data_centre
         self.at_s = at_s
         self.path = path
+        self.body = body
 
 
 class Target:
@@ -91,6 +105,9 @@
         refusals_sent: Number of these refusals, without the copies.
         odd_answers: Number of odd answers of some or all servers, by kind.
         deadly: Paths whose requests end the server while they run.
+        crash_shares: Share of the answer that is out when such a request ends it, by
+            path; 0.0 for others.
+        odd_s: When a request got an answer whose status is none, by its id.
         on_crash: Called with the server and the path that ended it.
         listener: Where it listens.
     """
@@ -124,6 +141,8 @@
         self.flood = ""
         self.work_s = 0.0
         self.deadly: Collection[str] = ()
+        self.crash_shares: Mapping[str, float] = {}
+        self.odd_s: dict[str, float] = {}
         self.on_crash: Callable[[Target, str], object] | None = None
         self.slots = slots
         self.listener = Listener(self, "127.0.0.1", 0)
@@ -275,24 +294,25 @@
 
     def _start(self, conn: Connection, req: StandinRequest) -> None:
         id = req.headers[b"crocusward-request-id"].decode()
-        self._note_run(conn, id, req.path)
+        is_long = len(req.body) >= LONG_BODY_BYTES
+        self._note_run(conn, id, req.path, None if is_long else req.body)
         self._busy += 1
         loop = asyncio.get_running_loop()
         work_s = self.work_s or 0.02 + 0.06 * self._rng.random()
         loop.call_later(work_s, self._finish, conn, req, id)
 
-    def _note_run(self, conn: Connection, id: str, path: str) -> None:
+    def _note_run(
+        self, conn: Connection, id: str, path: str, body: bytes | None = None
+    ) -> None:
         now_s = asyncio.get_running_loop().time()
         place = (self.id, self.service, self.data_centre)
-        self._runs.append(Run(id, _host_of(conn), *place, now_s, path))
+        self._runs.append(Run(id, _host_of(conn), *place, now_s, path, body))
 
     def _finish(self, conn: Connection, req: StandinRequest, id: str) -> None:
         if not self.listener.is_open:
             return  # it has crashed under another request
         if req.path in self.deadly:
-            self.listener.shut()
-            if self.on_crash is not None:
-                self.on_crash(self, req.path)
+            self._crash_in_answer(conn, req.path, id)
             return
         self._busy -= 1
         if self._waiting:
@@ -311,12 +331,13 @@
             conn.busy = False
             self._write(conn, self._doubtful_refusal(id))
             return
+        if mode == "odd_status":
+            self._answer_oddly(conn, id)
+            return
         body = f"{id} at {self.service}".encode()
         if req.path.startswith(LONG_PREFIX):
             body += b" " * LONG_ANSWER_BYTES
-        head = b"Crocusward-Request-Id: %s\r\n" % id.encode()
-        head += b"Crocusward-Response-Signature: sig-%s\r\n" % id.encode()
-        head += self._load_line(self._busy + 1)
+        head = self._own_lines(id) + self._load_line(self._busy + 1)
         head += self._limit_lines() + self._leaving_line(id, conn)
         if mode == "cut" and conn.transport is not None and not conn.closed:
             full = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s\r\n" % (
@@ -339,6 +360,39 @@
         elif mode == "idle_408":
             self._time_out_idle(conn)
 
+    def _own_lines(self, id: str) -> bytes:
+        head = b"Crocusward-Request-Id: %s\r\n" % id.encode()
+        return head + b"Crocusward-Response-Signature: sig-%s\r\n" % id.encode()
+
+    def _crash_in_answer(self, conn: Connection, path: str, id: str) -> None:
+        """End the server once a part of the answer is out."""
+        body = f"{id} at {self.service}".encode()
+        answer = encode_answer(200, body, self._own_lines(id))
+        share = self.crash_shares.get(path, 0.0)
+        self._write(conn, answer[: round(share * len(answer))])
+
+        def crash() -> None:
+            if self.listener.is_open:
+                self.listener.shut()
+                if self.on_crash is not None:
+                    self.on_crash(self, path)
+
+        if share:
+            asyncio.get_running_loop().call_later(CRASH_DELAY_S, crash)
+        else:
+            crash()
+
+    def _answer_oddly(self, conn: Connection, id: str) -> None:
+        """Answer with a status that is none; a proper answer may follow."""
+        self.odd_answers["odd_status"] += 1
+        self.odd_s[id] = asyncio.get_running_loop().time()
+        status, body = self._rng.choice(ODD_STATUSES), b"bytes of no answer"
+        head = b"HTTP/1.1 %s Odd\r\n%s" % (status, self._own_lines(id))
+        self._write(conn, head + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+        conn.busy = False
+        if self._rng.random() < 0.5:
+            conn.respond(200, f"{id} at {self.service}".encode(), self._own_lines(id))
+
     def _time_out_idle(self, conn: Connection) -> None:
         """Close an idle connection with status 408, or send it beside a request."""
         self.odd_answers["idle_408"] += 1
--- a/src/crocusward/devtools/fault_soak/_world.py
+++ b/src/crocusward/devtools/fault_soak/_world.py
@@ -15,8 +15,8 @@
 from ._callers import Asked, Caller, ask_once
 from ._checks import LimitSpan, Promises, Span
 from ._daemons import MEMORY_MB, Daemon, unix_ms
-from ._faults import FAULTS
 from ._proxy import FaultProxy
+from ._sequence_faults import FAULTS
 from ._slow_callers import PATH, SlowCaller
 from ._targets import Target
 
@@ -80,6 +80,7 @@
         self.played: list[str] = []
         self.paths = list(PATHS)
         self.deadly: set[str] = set()
+        self.crash_shares: dict[str, float] = {}
         self._per_data_centre = daemons
         self._callers = callers
         self._directory = directory
@@ -279,6 +280,8 @@
         )
         target.odd_answers = self.odd_answers
         target.deadly = self.deadly
+        target.crash_shares = self.crash_shares
+        target.odd_s = self.promises.odd_s
         target.on_crash = self._on_crash
         await target.listener.open()
         if proxy is None:
@@ -391,20 +394,24 @@
         else:
             self.store.put(table, key, value)
 
-    def write_again(self) -> None:
-        """Write again what a restored store has lost."""
+    def write_again(self, *tables: str) -> None:
+        """Write again what a restored store has lost, of some tables or of all."""
         for (table, key), value in self._written.items():
+            if tables and table not in tables:
+                continue
             if self.store.rows(table).get(key) != value:
                 self._put(table, key, value)
 
     # Acts of operators.
 
+    def is_out(self, data_centre: str) -> bool:
+        """Return whether a data centre is out of service."""
+        spans = self.promises.out.get(data_centre, [])
+        return bool(spans) and spans[-1][1] > 1e17
+
     async def evacuate(self, data_centre: str, for_s: float) -> None:
         """Take a data centre out of service for a while."""
-        if (
-            data_centre in self.promises.out
-            and self.promises.out[data_centre][-1][1] > 1e17
-        ):
+        if self.is_out(data_centre):
             return
         self._put("op", f"evacuate/{data_centre}", b"{}")
         spans = self.promises.out.setdefault(data_centre, [])
--- a/src/crocusward/entryd/_reader.py
+++ b/src/crocusward/entryd/_reader.py
@@ -21,6 +21,8 @@
 REMOVAL_HOLD_S = 2.3
 # Old rows of a restored table are written again, or have expired, after about 4.5 s.
 RESTORED_HOLD_S = 6.0
+# Their rows come back in a restored store only when operators write them again.
+WRITER_TABLES = frozenset({TABLE_OPERATOR})
 ALL_CHANGES = "all"  # requests all rows and removals
 MAX_MERGE_TRIES = 3
 MAX_LOGGED_ROWS = 16  # named in one line
@@ -83,7 +85,7 @@
         on_change: Callable[[str, RowChange], None],
         on_version: Callable[[], None],
     ) -> None:
-        self.copy = TableReplica(table, waits_for_writer=table == TABLE_OPERATOR)
+        self.copy = TableReplica(table, waits_for_writer=table in WRITER_TABLES)
         self.answered_s = -1e9
         self._merge_tries_left = 0
         self._timer = timer
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -26,8 +26,16 @@
 READER_SEED = 7
 CRASH_SEED = 8
 DOUBT_SEED = 14
-PLANT_SEED = 15
 ONE_FAULT_S = 0.1
+# Fault, seed and what the checks find, by the wrong decision of the daemons.
+PLANTED = {
+    "trust-unnamed-refusals": ("repeated_refusals", 15, "at_most_once"),
+    "end-at-offers": ("offered_upgrades", 21, "body"),
+    "count-crashes-without-bytes": ("deadly_answers", 22, "crashes"),
+    "drop-lost-orders": ("late_operators", 23, "evacuation"),
+    "remember-outages": ("readers_after_outage", 24, "leaving"),
+    "skip-low-statuses": ("odd_statuses", 25, "own_answer"),
+}
 RESTART_SEEDS = {
     10: "awaited_slots",
     11: "reader_restarts",
@@ -77,6 +85,22 @@
         self.promises.asked = [asked(body=b"q2 at alpha")]
         self.assert_broken("own_answer")
 
+    def test_run_with_another_body(self):
+        item = asked()
+        item.sent_body = b"payload"
+        self.promises.asked = [item]
+        self.promises.runs = [run()]
+        self.assertEqual(self.promises.broken(), [])
+        self.promises.runs[0].body = b""
+        self.assert_broken("body")
+
+    def test_wait_for_the_time_limit_after_an_odd_status(self):
+        self.promises.asked = [asked(status=504, ended_s=2.5)]
+        self.promises.runs = [run()]
+        self.assertEqual(self.promises.broken(), [])
+        self.promises.odd_s = {"q1": 1.1}
+        self.assert_broken("waited")
+
     def test_double_run(self):
         self.promises.asked = [asked()]
         self.promises.runs = [run(), run(server="i-2")]
@@ -330,21 +354,25 @@
         world = self.play(DOUBT_SEED, ONE_FAULT_S, "doubtful_answers")
         self.assertGreater(world.odd_answers.total(), 0)
 
-    def test_planted_trust_in_unnamed_refusals_is_found(self):
-        """Guards against a soak that misses requests which run twice."""
-        planted, clean = asyncio.run(self.play_planted("trust-unnamed-refusals"))
-        found = [text.partition(":")[0] for text in planted.findings]
-        self.assertIn("at_most_once", found)
-        self.check(clean)
-        self.assertGreater(clean.odd_answers.total(), 0)
-
-    async def play_planted(self, plant):
+    def test_planted_faults_are_found(self):
+        """Guards against a soak that misses the faults which it is made for."""
+        for plant, (first, seed, name) in PLANTED.items():
+            with self.subTest(plant=plant):
+                planted, clean = asyncio.run(self.play_planted(plant, first, seed))
+                found = [text.partition(":")[0] for text in planted.findings]
+                self.assertIn(name, found)
+                self.check(clean)
+                if first in ("repeated_refusals", "odd_statuses"):
+                    self.assertGreater(clean.odd_answers.total(), 0)
+                if first == "deadly_answers":
+                    self.assertGreaterEqual(len(clean.promises.crashes), 3)
+
+    async def play_planted(self, plant, first, seed):
         """Play one seed with a planted fault, and without it at the same time."""
-        options = {"daemons": 2, "callers": 16, "keep": None}
-        options["first"] = "repeated_refusals"
+        options = {"daemons": 2, "callers": 16, "keep": None, "first": first}
         return await asyncio.gather(
-            run_soak(PLANT_SEED, ONE_FAULT_S, plant=plant, **options),
-            run_soak(PLANT_SEED, ONE_FAULT_S, **options),
+            run_soak(seed, ONE_FAULT_S, plant=plant, **options),
+            run_soak(seed, ONE_FAULT_S, **options),
         )
 
     def test_seeds_that_failed_before(self):
