Hold removals back until the same moment on hosts that read second after an outage

After a host that could read the store again later than another host of its data centre held no removals back: its outage was measured from the other host's answer on. Entries that lapsed in a real outage could have been taken for servers that left.

Cause: an answer elsewhere ended the failures of a host, but not its outage.

It lasts from the first to the last failure that was seen, so that a pause of the process still is none.

--- a/src/crocusward/entryd/_reader.py
+++ b/src/crocusward/entryd/_reader.py
@@ -66,6 +66,7 @@
         "_on_version",
         "_failures",
         "_failed_since_s",
+        "_last_failure_s",
         "_wake",
         "_was_reader",
         "_has_changed",
@@ -100,6 +101,7 @@
         self._on_version = on_version
         self._failures = 0
         self._failed_since_s = 0.0
+        self._last_failure_s = 0.0
         self._wake = asyncio.Event()
         self._was_reader = False
         self._has_changed = False
@@ -130,7 +132,10 @@
             self._was_reader = is_reader
             log_event("reader_role", table=copy.name, reads_store=is_reader)
         if not is_reader:
-            self._forget_ended_failures()
+            self._note_answer_elsewhere()
+            if self._failures and self._failed_since_s > self._last_failure_s:
+                log_event("store_failures_ended", table=copy.name)
+                self._failures = 0
             await self._timer.sleep(ROLE_CHECK_PERIOD_S)
             return
         if copy.version < 0:
@@ -184,36 +189,53 @@
             )
         return page
 
-    def _forget_ended_failures(self) -> None:
-        """Forget failures that another host has had an answer after.
+    def _note_answer_elsewhere(self) -> None:
+        """Count failures only since the last answer that another host has had.
 
         Otherwise the first answer to this host, when it reads again, would end an
         outage that was over long before.
         """
-        if self._failures and self._other_answer_s() > self._failed_since_s:
-            log_event(
-                "store_failures_ended", table=self.copy.name, failures=self._failures
-            )
-            self._failures = 0
+        at_s = self._other_answer_s()
+        # The next answer to the other host may be under way until then.
+        covered_s = at_s + self._times.takeover_age_s
+        if not self._failures or covered_s <= self._failed_since_s:
+            return
+        if at_s > self._failed_since_s:
+            self._end_outage(at_s)
+        self._failed_since_s = covered_s
+
+    def _end_outage(self, end_s: float) -> float:
+        """Hold removals back if the failures until an answer were an outage.
+
+        It has lasted from the first to the last failure that was seen, so that a pause
+        of this process is none.
+
+        Args:
+            end_s: Time of the answer, in monotonic seconds.
+
+        Returns:
+            For how long removals are held back from ``end_s`` on, in seconds.
+        """
+        outage_s = min(self._last_failure_s, end_s) - self._failed_since_s
+        if outage_s < MIN_OUTAGE_S or self.copy.version < 0:
+            return 0.0
+        self.copy.defer_removals(end_s + REMOVAL_HOLD_S)
+        return REMOVAL_HOLD_S
 
     def _record_answer(self) -> None:
         now_s = self._timer.now()
         self.answered_s = now_s
         if self._failures == 0:
             return
-        # Another host's next answer may be under way, and its report after that.
-        other_s = self._other_answer_s() + self._times.takeover_age_s
-        outage_s = max(0.0, now_s - max(self._failed_since_s, other_s))
-        is_outage = outage_s >= MIN_OUTAGE_S and self.copy.version >= 0
+        self._note_answer_elsewhere()
+        outage_s = max(0.0, now_s - self._failed_since_s)
         log_event(
             "store_regained",
             table=self.copy.name,
             outage_s=outage_s,
-            hold_s=REMOVAL_HOLD_S if is_outage else 0.0,
+            hold_s=self._end_outage(now_s),
         )
         self._failures = 0
-        if is_outage:
-            self.copy.defer_removals(now_s + REMOVAL_HOLD_S)
 
     async def _back_off(self, exc: CrocusError) -> None:
         now_s = self._timer.now()
@@ -223,6 +245,8 @@
                 "store_lost", Level.WARNING, table=self.copy.name, reason=str(exc)
             )
         self._failures += 1
+        self._last_failure_s = now_s
+        self._note_answer_elsewhere()
         # Hosts of higher rank retry less often, which limits the calls in an outage
         # however large the fleet is.
         max_backoff_s = min(
--- a/tests/test_removal_holds.py
+++ b/tests/test_removal_holds.py
@@ -129,6 +129,27 @@
         held_s = self.removed_s["a"] - returned_s
         self.assertGreater(held_s, REMOVAL_HOLD_S)
 
+    def test_host_that_reads_after_another_holds_back_until_the_same_moment(self):
+        """Guards against a host without the hold of the one that read first."""
+        for is_relieved in (False, True):
+            with self.subTest(is_relieved=is_relieved):
+                key = f"lapsed-{is_relieved}"
+                self.rows.append(RowChange(key, b"1", self.version + 1))
+                self.version += 1
+                self.run_for(0.5)
+                self.is_up = False
+                self.run_for(6.0)
+                self.remove(key)
+                returned_s = self.other_answer_s = self.loop.time()
+                self.is_reader = not is_relieved
+                self.run_for(0.8)
+                self.is_up = self.is_reader = True
+                self.run_for(4.0)
+                held_s = self.removed_s[key] - returned_s
+                # The hold is over when it ends; the last read may come after that.
+                self.assertGreaterEqual(held_s, REMOVAL_HOLD_S)
+                self.assertLess(held_s, REMOVAL_HOLD_S + 0.5)
+
     def test_host_that_the_store_alone_refuses_holds_nothing_back(self):
         """Guards against a hold after trouble that was that of one host."""
         self.is_up = False
