Let crashes of one moment block no request

Cause: a block needed three crashes, whatever lay between them.

Change: from the first to the last of them 0.2 s must pass; the first and the latest ones of a request are kept, so that many crashes in short order block it too. Hashes of long bodies are computed only once a server is gone. A host that starts takes lost orders only from hosts whose rows are as new as its own, and store_regained names the hold that is in force.

In tests.test_crashing_requests the three crashes of the flood test are now a second apart: the request that must stay blocked is one that crashes servers one after the other.

--- a/src/crocusward/crashes/_registry.py
+++ b/src/crocusward/crashes/_registry.py
@@ -9,7 +9,8 @@
 
 MAX_CRASHES = 3  # under one request, which then reaches no server any more
 MAX_RECORDS = 512  # about 0.5 MB
-MAX_CRASHES_KEPT = MAX_CRASHES + 1  # of one request; more change nothing
+MAX_CRASHES_KEPT = MAX_CRASHES + 1  # of one request: the first and the latest ones
+SAME_MOMENT_S = 0.2  # from the first to the last of crashes that may have one cause
 # A request with fewer crashes is forgotten after this time without a further one.
 SUSPECT_LIFETIME_S = 60.0
 BLOCK_LIFETIME_S = 600.0
@@ -56,8 +57,15 @@
 
     @property
     def is_blocked(self) -> bool:
-        """Whether it may reach no server."""
-        return len(self.crashes_s) >= MAX_CRASHES
+        """Whether it may reach no server.
+
+        Servers that end at the same moment may do so for another reason, such as a loss
+        of power, which many requests in flight share.
+        """
+        times_s = self.crashes_s.values()
+        if len(times_s) < MAX_CRASHES:
+            return False
+        return max(times_s) - min(times_s) >= SAME_MOMENT_S
 
     @property
     def end_s(self) -> float:
@@ -95,15 +103,16 @@
         return target in self._targets
 
     def count(self, digest: bytes) -> int:
-        """Return the number of crashes that count for a request."""
+        """Return the number of crashes under a request, ``MAX_CRASHES`` at most."""
         record = self.records.get(digest)
         if record is None or record.end_s <= self._now():
             return 0
-        return len(record.crashes_s)
+        return min(MAX_CRASHES, len(record.crashes_s))
 
     def is_blocked(self, digest: bytes) -> bool:
         """Return whether a request may reach no server."""
-        return self.count(digest) >= MAX_CRASHES
+        record = self.records.get(digest)
+        return record is not None and record.is_blocked and self.count(digest) > 0
 
     def block_left_s(self, digest: bytes) -> float:
         """Return for how long a request is blocked, in seconds."""
@@ -152,9 +161,9 @@
             for crash, at_s in record.crashes_s.items()
             if at_s > record.cleared_s
         )
-        record.crashes_s = {
-            crash: at_s for at_s, crash in remaining[-MAX_CRASHES_KEPT:]
-        }
+        if len(remaining) > MAX_CRASHES_KEPT:
+            remaining = remaining[:1] + remaining[1 - MAX_CRASHES_KEPT :]
+        record.crashes_s = {crash: at_s for at_s, crash in remaining}
         if not record.crashes_s and record.cleared_s == NEVER_S:
             self._remove(summary.digest)
         return set(record.crashes_s) != before
--- a/src/crocusward/desired/_table_replica.py
+++ b/src/crocusward/desired/_table_replica.py
@@ -122,8 +122,9 @@
         self._withhold_until_s = max(self._withhold_until_s, until_s)
 
     def settle(self, at_s: float) -> None:
-        """Take the table as it is in the store from ``at_s`` on, if not earlier."""
-        self._settled_s = min(self._settled_s, at_s)
+        """Wait for writers no longer than until ``at_s``, in monotonic seconds."""
+        if self.waits_for_writer:
+            self._settled_s = min(self._settled_s, at_s)
 
     def settle_left_s(self, now_s: float) -> float | None:
         """Return for how long rows wait for their writer, None if that is not known."""
--- a/src/crocusward/entryd/_reader.py
+++ b/src/crocusward/entryd/_reader.py
@@ -204,7 +204,7 @@
             self._end_outage(at_s)
         self._failed_since_s = covered_s
 
-    def _end_outage(self, end_s: float) -> float:
+    def _end_outage(self, end_s: float) -> None:
         """Hold removals back if the failures until an answer were an outage.
 
         It has lasted from the first to the last failure that was seen, so that a pause
@@ -212,15 +212,10 @@
 
         Args:
             end_s: Time of the answer, in monotonic seconds.
-
-        Returns:
-            For how long removals are held back from ``end_s`` on, in seconds.
         """
         outage_s = min(self._last_failure_s, end_s) - self._failed_since_s
-        if outage_s < MIN_OUTAGE_S or self.copy.version < 0:
-            return 0.0
-        self.copy.defer_removals(end_s + REMOVAL_HOLD_S)
-        return REMOVAL_HOLD_S
+        if outage_s >= MIN_OUTAGE_S and self.copy.version >= 0:
+            self.copy.defer_removals(end_s + REMOVAL_HOLD_S)
 
     def _record_answer(self) -> None:
         now_s = self._timer.now()
@@ -228,12 +223,13 @@
         if self._failures == 0:
             return
         self._note_answer_elsewhere()
-        outage_s = max(0.0, now_s - self._failed_since_s)
+        self._end_outage(now_s)
         log_event(
             "store_regained",
             table=self.copy.name,
-            outage_s=outage_s,
-            hold_s=self._end_outage(now_s),
+            outage_s=max(0.0, now_s - self._failed_since_s),
+            failures=self._failures,
+            hold_s=self.copy.deferral_left_s(now_s),
         )
         self._failures = 0
 
--- a/src/crocusward/entryd/_row_replicator.py
+++ b/src/crocusward/entryd/_row_replicator.py
@@ -136,7 +136,7 @@
             addresses: Hosts to ask, one after the other.
 
         Returns:
-            Whether one of them had rows of this era.
+            Whether one of them had rows as new as this host's.
         """
         follower = self._followers[table]
         for address in addresses:
@@ -161,7 +161,9 @@
                     reason=str(exc),
                 )
                 continue
-            if page.era == follower.copy.era:
+            # One that is behind may keep rows which have been taken back since.
+            position = follower.copy.position
+            if page.era == position.era and page.position >= position:
                 follower.apply_neighbour_page(page, 0.0, is_merge=True)
                 return True
             self._sampler.log(
@@ -169,7 +171,7 @@
                 table=table,
                 address=address,
                 took_s=self._timer.now() - began_s,
-                reason=f"its era is {page.era}",
+                reason=f"at version {page.version} of era {page.era}",
             )
         return False
 
--- a/src/crocusward/relay/_crash_watch.py
+++ b/src/crocusward/relay/_crash_watch.py
@@ -18,7 +18,7 @@
 from ..timing import TimerService
 from ._exchange import BackendClient
 from ._messages import CallerRequest
-from ._run_history import Run, RunHistory, is_restart
+from ._run_history import ANSWERED_RUN_LIFETIME_S, Run, RunHistory, is_restart
 
 CHECK_TIMEOUT_S = 0.3  # of a connection to a server that lost a request
 # A process that ends closes its sockets one by one, so that a connection opened in
@@ -28,7 +28,8 @@
 # the check of one that ends at once.
 SURVIVAL_S = 0.25
 NOTE_DELAY_S = 0.005  # the end of a connection may be seen before its last answer
-MAX_HASHED_ANSWERED_BYTES = 1 << 20  # longer bodies of answered requests are not hashed
+# Longer bodies are hashed only once a server is known to be gone.
+MAX_HASHED_BYTES = 1 << 20
 CRASHES_SERVERS = "crashes_servers"
 DIGEST_SHOWN_CHARS = 16
 
@@ -42,9 +43,6 @@
     answer has crashed under its request. All requests that a crash ended become
     suspects; one that a server survives is none.
 
-    Silence and an end after an answer are weaker signs, and several servers may end at
-    the same moment for another reason. They block a request only if it ran alone.
-
     Args:
         registry: Counts the crashes.
         client: Checks servers.
@@ -143,19 +141,23 @@
 
         The check goes on if the caller leaves.
         """
-        run = self._make_run(req, request_id, load, was_alone=True)
-        return asyncio.get_running_loop().create_task(self._examine([run]))
+        return asyncio.get_running_loop().create_task(
+            self._examine_lost(req, request_id, load)
+        )
 
-    async def _examine(self, runs: list[Run]) -> None:
-        """Count the runs as crashed if their server is gone."""
-        if runs and await self.is_gone(runs[0].load):
+    async def _examine_lost(
+        self, req: CallerRequest, request_id: str, load: BackendLoad
+    ) -> None:
+        if await self.is_gone(load):
+            self._count(self._make_run(req, request_id, load), "gone")
+
+    async def _examine_answered(self, runs: list[Run]) -> None:
+        if await self.is_gone(runs[0].load):
             for run in runs:
-                self._count(run, "gone")
+                self._count(run, "gone after its answer")
 
-    def _make_run(
-        self, req: CallerRequest, request_id: str, load: BackendLoad, was_alone: bool
-    ) -> Run:
-        return Run(_digests(req), request_id, load, was_alone, self._timer.now())
+    def _make_run(self, req: CallerRequest, request_id: str, load: BackendLoad) -> Run:
+        return Run(_digests(req), request_id, load, self._timer.now())
 
     def _count(self, run: Run, sign: str) -> None:
         """Count a crash under a request.
@@ -169,10 +171,6 @@
         is_first = not self.registry.count(run.digests[0])
         # The digest without the caller counts callers, not their tries.
         for digest in run.digests if is_first else run.digests[:1]:
-            known = self.registry.count(digest)
-            if not run.was_alone and known >= MAX_CRASHES - 1:
-                self.events["crash_beside_others"] += 1
-                continue
             was_blocked = self.registry.is_blocked(digest)
             if not self.registry.add_crash(digest, crash):
                 continue
@@ -189,10 +187,12 @@
             self._tell(digest, was_blocked)
 
     def note_silent(
-        self, req: CallerRequest, request_id: str, load: BackendLoad, was_alone: bool
+        self, req: CallerRequest, request_id: str, load: BackendLoad
     ) -> None:
         """Remember a request whose server fell silent, which may have crashed."""
-        run = self._make_run(req, request_id, load, was_alone)
+        if len(req.body) > MAX_HASHED_BYTES:
+            return
+        run = self._make_run(req, request_id, load)
         entries = self._directory.backends.values() if self._directory else ()
         if any(is_restart(load.entry, entry) for entry in entries):
             self._count(run, "restarted")
@@ -204,14 +204,21 @@
             for run in self._history.take_restarted(new, self._timer.now()):
                 self._count(run, "restarted")
 
-    def on_idle_end(self, address: str, port: int) -> None:
-        """Find out whether a server that ended a connection has crashed."""
-        at_s = self._timer.now()
+    def on_idle_end(self, address: str, port: int, answered_s: float) -> None:
+        """Find out whether a server that ended a connection has crashed.
+
+        Args:
+            address: IP address of the server.
+            port: TCP port.
+            answered_s: Time of the last answer on it, in monotonic seconds.
+        """
+        if self._timer.now() - answered_s > ANSWERED_RUN_LIFETIME_S:
+            return
 
         def examine_answered() -> None:
-            runs = self._history.take_answered((address, port), at_s)
+            runs = self._history.take_answered((address, port), answered_s)
             if runs:
-                asyncio.get_running_loop().create_task(self._examine(runs))
+                asyncio.get_running_loop().create_task(self._examine_answered(runs))
 
         self._timer.call_later(NOTE_DELAY_S, examine_answered)
 
@@ -243,14 +250,14 @@
         return True
 
     def note_answer(
-        self, req: CallerRequest, request_id: str, load: BackendLoad, was_alone: bool
+        self, req: CallerRequest, request_id: str, load: BackendLoad
     ) -> None:
         """Clear a request once its server has survived its answer for a while."""
-        if len(req.body) <= MAX_HASHED_ANSWERED_BYTES:
-            run = self._make_run(req, request_id, load, was_alone)
+        if len(req.body) <= MAX_HASHED_BYTES:
+            run = self._make_run(req, request_id, load)
             self._history.add_answered(run)
         if self.find(req) is not None:
-            run = self._make_run(req, request_id, load, was_alone)
+            run = self._make_run(req, request_id, load)
             self._timer.call_later(SURVIVAL_S, lambda: self._clear(run))
 
     def _clear(self, run: Run) -> None:
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -518,13 +518,12 @@
             selection.load,
         )
         assert load is not None
-        was_alone = selection.held_slots > 0 or load.entry.slots == 1
         if result.is_cut:
             call.crash_check = watch.examine(call.req, request_id, load)
         elif result.is_silent:
-            watch.note_silent(call.req, request_id, load, was_alone)
+            watch.note_silent(call.req, request_id, load)
         elif result.end is ExchangeEnd.ANSWERED:
-            watch.note_answer(call.req, request_id, load, was_alone)
+            watch.note_answer(call.req, request_id, load)
 
     def _update_estimates(
         self, call: Call, selection: Selection, result: Exchange, begun_s: float
--- a/src/crocusward/upstream/_pool.py
+++ b/src/crocusward/upstream/_pool.py
@@ -60,8 +60,8 @@
         invalid_statuses: Number of answers with a status that is none.
         pacer: Paces the reads of fragmented answers.
         memory_budget: Limits the total size of incomplete answers, or None.
-        on_idle_end: Called with address and port when a server has ended a connection
-            that was idle, or had just carried a complete answer; or None.
+        on_idle_end: Called with address, port and the time of the last answer, in
+            monotonic seconds, when a server has ended an idle connection; or None.
     """
 
     __slots__ = (
@@ -98,7 +98,7 @@
         self.distrusted_connections = 0
         self.skipped_answers = 0
         self.invalid_statuses = 0
-        self.on_idle_end: Callable[[str, int], object] | None = None
+        self.on_idle_end: Callable[[str, int, float], object] | None = None
         self._reuse = reuse
         self.memory_budget = memory_budget
         self.pacer = ReadPacer(timer)
@@ -287,7 +287,7 @@
     ) -> None:
         if conn.is_closed:
             if conn.was_ended_by_server and self.on_idle_end is not None:
-                self.on_idle_end(endpoint.address, endpoint.port)
+                self.on_idle_end(endpoint.address, endpoint.port, self._timer.now())
             return
         if (
             self._is_closed
@@ -350,7 +350,7 @@
             if conn in endpoint.idle:
                 endpoint.idle.remove(conn)
                 if conn.was_ended_by_server and self.on_idle_end is not None:
-                    self.on_idle_end(address, port)
+                    self.on_idle_end(address, port, conn.idle_since_s)
 
         loop = asyncio.get_running_loop()
         family = socket.AF_INET6 if ":" in address else socket.AF_INET
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -257,6 +257,7 @@
         """Guards against a flood that fills the host or pushes out what counts."""
         for number in range(MAX_CRASHES):
             self.registry.add_crash(DIGEST, crash_id("i-1", number))
+            self.now_s += 1.0  # crashes of one moment may have another cause
         for number in range(5 * MAX_RECORDS):
             self.registry.add_crash(b"%016d" % number, crash_id("i-2", number))
         self.assertTrue(self.registry.is_blocked(DIGEST))
