--- a/tests/test_lost_orders.py
+++ b/tests/test_lost_orders.py
@@ -1,12 +1,16 @@
 """Rows of operators that a restored store lacks or brings back."""
 
+import io
 import random
 import unittest
 
+from crocusward.cli._explain import explain
 from crocusward.desired import RowChange, TablePage, TableReplica
 from crocusward.desired._table_replica import WRITER_SETTLE_S
 from crocusward.devtools.entry_soak import WholeFleet
 from crocusward.devtools.standins._store import FaultMode
+from crocusward.entryd._exposition import format_metrics
+from crocusward.logs import start_logs
 
 from .test_restored_store import RestoredStoreCase
 
@@ -191,6 +195,31 @@
                 broken.append((name, "taken back"))
         return broken
 
+    def test_kept_order_shows_in_logs_metrics_and_explain(self):
+        """Guards against a data centre that stays out without a reason to be found."""
+        stream = io.StringIO()
+        pipe = start_logs(stream)
+        fleet = WholeFleet(3, 2, era=1)
+        self.addCleanup(fleet.close)
+        fleet.add_servers(4)
+        copy = fleet.store.copy()
+        fleet.store.put("op", ORDER, b"{}")
+        fleet.network.advance(2.0)
+        fleet.store.restore(copy)
+        fleet.network.advance(2.0)
+        item = fleet.ask("/look/x", "host-east-a-000")
+        fleet.network.advance(1.0)
+        host = fleet.hosts["host-east-a-000"]
+        metrics = format_metrics(host).decode()
+        pipe.buffer.flush()
+        pipe.close()
+        found = explain(item.id, [("hosts", stream.getvalue().splitlines())])
+        text = " ".join(line.text for line in found)
+        self.assertIn(f"event=operator_row_kept table=op row={ORDER} era=2", text)
+        self.assertIn('rows_lost_by_store{table="op"} 1', metrics)
+        self.assertIn('removals_held{table="servers"} 0', metrics)
+        self.assertIn('invalid_statuses_total{to="backends"} 0', metrics)
+
     def test_late_operators_and_hosts_that_start_in_between(self):
         rng = random.Random(8)
         cases = [(late_s, "none") for late_s in LATE_S]
