Fault soak: draw only moments that show the planted faults

Orders are written again 4.5 s and more after the return of the store, crashes come after at least 3 % of an answer, and the deadly request is sent for 9 s longer than before the third crash is known. Crashes before the first byte stay in deadly_request.

--- a/src/crocusward/devtools/fault_soak/_sequence_faults.py
+++ b/src/crocusward/devtools/fault_soak/_sequence_faults.py
@@ -15,11 +15,13 @@
 OUTAGES = 3
 CALM_MAX_S = 1.5  # after the moment from which bounds count again
 IN_FORCE_S = 5.5  # of an order, before the store goes away
-LATE_WRITES_S = (2.6, 4.5, 9.0)  # from the return of the store to an operator's write
+# From the return of the store to an operator's write; bounds count from STABLE_S on.
+LATE_WRITES_S = (4.5, 7.0, 9.0)
 ORDER_S = 24.0  # until an order is taken back
-# Shares of the bytes of an answer that are out when a server crashes. A crash after a
-# whole one is not counted (docs/known-faults.md).
-CRASH_SHARES = (0.0, 0.03, 0.4, 0.7, 0.99)
+DEADLY_S = 9.0  # some seconds beyond the third crash and the time until it is known
+# Shares of an answer's bytes that are out when a server crashes. One before the first
+# byte is another fault's; one after the last byte is not counted yet.
+CRASH_SHARES = (0.03, 0.4, 0.7, 0.99)
 
 
 @FAULTS.register("offered_upgrades")
@@ -44,7 +46,7 @@
     world.deadly.add(path)
     entry = ("GET", path)
     world.paths.append(entry)
-    await world.sleep(2.0 * for_s + 5.0)
+    await world.sleep(2.0 * for_s + DEADLY_S)
     world.paths.remove(entry)
 
 
