--- a/review/standins-3/platform3.py
+++ b/review/standins-3/platform3.py
@@ -12,6 +12,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import sys
@@ -219,6 +220,23 @@
         self.changed = asyncio.Event()
         return 200, self._page([])
 
+    def end_listening(self):
+        """Return the listener and connections of this address, which go on."""
+        return self._server, set(self._writers)
+
+    def close_old(self, old):
+        """End a former address."""
+        server, writers = old
+        writers |= self._old_writers(server)
+        server.close()
+        for writer in writers:
+            writer.transport.abort()
+
+    def _old_writers(self, server):
+        ports = {sock.getsockname()[1] for sock in server.sockets}
+        names = [(w, w.get_extra_info("sockname")) for w in self._writers]
+        return {w for w, name in names if name and name[1] in ports}
+
     def close(self):
         self._server.close()
         for writer in list(self._writers):
@@ -591,6 +609,8 @@
         for target in self.targets:
             target.close()
         self.store.close()
+        if "KEEP" not in os.environ:
+            shutil.rmtree(self.directory, ignore_errors=True)
 
 
 def as_columns(items):
