--- a/review/14/case.py
+++ b/review/14/case.py
@@ -22,12 +22,12 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 LIMIT = "2"
-RATE_PER_S = 24.0
+RATE_PER_S = 40.0
 WORK_S = 0.06
 LIMIT_MS = 1500
 CALM_S = 4.0
 NEED_S = 20.0
-TARGETS = 4
+TARGETS = 6
 STABILITY_S = 3.0
 WINDOW_S = 4.0
 
