--- a/review/standins-3/platform3.py
+++ b/review/standins-3/platform3.py
@@ -19,6 +19,7 @@
 import tempfile
 import time
 from pathlib import Path
+from urllib.parse import unquote
 
 ROOT = Path(__file__).resolve().parents[2]
 BOUNDS = {  # those of the site kaaned-gw
@@ -42,6 +43,8 @@
     "recovery": "15s",
     "probesPerS": 60,
 }
+CONTRACTS = ["base", "drain", "config", "cost", "retry", "recover"]  # kaaned-gw
+CONTRACTS += ["health", "places", "platform"]
 STORE_DELAY_S = 0.004
 HEARTBEAT_S = 1.5
 READY_PERIOD_S = 1.0
@@ -143,7 +146,7 @@
                 await asyncio.sleep(STORE_DELAY_S)
                 status, document = await self._answer(method, path, fields, message[2])
                 body = json.dumps(document).encode()
-                kind = {"Content-Type": "application/json"}
+                kind = {"Content-Type": "application/json", "Store-Era": "1"}
                 writer.write(encode_answer(status, kind, body))
                 await writer.drain()
         except (ConnectionError, ValueError, asyncio.CancelledError):
@@ -169,13 +172,15 @@
 
     def _get(self, fields):
         limit = min(500, int(fields.get("limit", 500)))
-        start = fields.get("from", "").replace("%00", "\0").replace("%2F", "/")
+        start = unquote(fields.get("from", ""))
+        end = unquote(fields.get("target", ""))  # excluded
         found = [
             self._row(key, *self.rows[key])
             for key in sorted(self.rows)
             if key[0] == fields["table"]
             and key[1] == fields.get("part", "")
             and key[2] >= start
+            and (not end or key[2] < end)
             and self.rows[key][1] is not None
         ]
         return self._page(found[:limit], len(found) > limit)
@@ -360,7 +365,9 @@
         run["begin"] = self.record.now()
         run["end"], run["how"] = None, "running"
         self.runs.append(run)
-        self.record.write("run_begins", id=id, server=self.id, request=f"{method} {path}")
+        self.record.write(
+            "run_begins", id=id, server=self.id, request=f"{method} {path}"
+        )
         limit_s = int(headers.get("crocusward-deadline-ms", "60000")) / 1000
         work_s = self.work(path)
         status, text = 200, f"{id} {method} {path}".encode() * 20
@@ -438,7 +445,7 @@
             "discovery": "platform",
             "entry": "vip",
             "heartbeat": "1500ms",
-            "contracts": ["base", "drain", "config", "cost", "retry", "recover"],
+            "contracts": CONTRACTS,
             "faultTolerance": {"machines": 2, "zones": 1, "regions": 0},
             "bounds": BOUNDS,
             "platform": {
