End the intake of a planned stop before waiting for the last requests

Cause: the stop waited for a moment without connections, from 2.6 s after SIGTERM on, and ended everything 0.1 s later, while its listener was open. Nothing open at a moment was taken for nothing to come.

Change: PlannedStop ends the intake first (once nothing is open and no connection came for 0.5 s, or at 0.7 of the grace time), accepts what the kernel has queued, waits for what was let in, and only then closes. Requests read in part are refused as not run; a new connection is kept for its first request. Logs, metrics and explain say what was let in, refused and cut.

The test of the number of lingering closes closed connections that had never sent anything; these are kept for their first request now, so its clients get an answer first. Its bounds are the same. Deliveries of one simulated connection keep their order, which the timers of one moment did not.

--- a/src/crocusward/devtools/entry_soak/_network.py
+++ b/src/crocusward/devtools/entry_soak/_network.py
@@ -11,6 +11,7 @@
 from ..virtual_loop import VirtualLoop
 
 STEP_S = 1e-6  # least time between two iterations of the loop
+ORDER_STEP_S = 1e-9  # between two deliveries of one connection
 LOCAL_DELAY_S = 0.0003
 REMOTE_DELAY_S = 0.012
 FIRST_FREE_PORT = 30_000
@@ -35,6 +36,7 @@
         self._local = local
         self._remote = remote
         self._is_closing = False
+        self._last_at_s = 0.0
 
     def get_extra_info(self, name, default=None):
         return {"peername": self._remote, "sockname": self._local}.get(name, default)
@@ -45,6 +47,9 @@
     def set_write_buffer_limits(self, high=None, low=None):
         pass
 
+    def can_write_eof(self):
+        return False
+
     def is_closing(self):
         return self._is_closing
 
@@ -73,8 +78,11 @@
         self._network.loop.call_soon(self.protocol.connection_lost, None)
 
     def _send(self, deliver):
-        delay_s = self._network.delay_s(self._local[0], self._remote[0])
-        self._network.loop.call_later(delay_s, self._deliver, deliver)
+        loop = self._network.loop
+        at_s = loop.time() + self._network.delay_s(self._local[0], self._remote[0])
+        # Timers of the same moment fire in any order; what is sent keeps its order.
+        self._last_at_s = max(at_s, self._last_at_s + ORDER_STEP_S)
+        loop.call_at(self._last_at_s, self._deliver, deliver)
 
     def _deliver(self, deliver):
         peer = self.peer
@@ -102,7 +110,7 @@
 
 
 class SimulatedListener:
-    """Stands for a listening socket."""
+    """Stands for a listening socket; no connection waits there."""
 
     def __init__(self, network, address):
         self._network = network
@@ -112,6 +120,12 @@
     def getsockname(self):
         return self._address
 
+    def dup(self):
+        return self
+
+    def accept(self):
+        raise BlockingIOError
+
     def close(self):
         self._network.listeners.pop(self._address, None)
 
--- a/src/crocusward/entryd/_exposition.py
+++ b/src/crocusward/entryd/_exposition.py
@@ -61,6 +61,9 @@
     lines.append(f"# TYPE {PREFIX}slot_offers_ignored_total counter")
     for reason, count in process.hub.ignored_offers.items():
         lines.append(f'{PREFIX}slot_offers_ignored_total{{reason="{reason}"}} {count}')
+    lines.append(f"# TYPE {PREFIX}stop_requests_total counter")
+    for end, count in process.relay.stop_requests.items():
+        lines.append(f'{PREFIX}stop_requests_total{{end="{end}"}} {count}')
     _add_connections(lines, process)
     return ("\n".join(lines) + "\n").encode("utf-8")
 
--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -61,6 +61,7 @@
 from ._hub import NeighbourHub
 from ._reader import READ_TIMEOUT_S, TableFollower
 from ._row_replicator import RowReplicator
+from ._stop import PlannedStop
 
 TICK_PERIOD_S = 0.1
 SETTINGS_CHECK_PERIOD_S = 1.0  # detects changes of the file without a signal
@@ -79,10 +80,6 @@
 REMOTE_MERGE_PAUSE_S = 0.5  # hosts of the own data centre are asked first
 MAX_REMOTE_MERGES = 20  # until rows and other hosts of this era are known
 REMOTE_MERGE_HOSTS = 3  # asked one after the other
-STOP_NOTICE_S = 2.6  # the platform checks once a second and needs two failed checks
-LAST_ANSWERS_S = 0.1  # of the margin below, to write the last answers
-STOP_MARGIN_S = 0.3  # left unused at the end of the grace time
-IDLE_CLOSE_SHARE = 0.7  # of the grace time; idle connections are then closed
 BYTES_PER_MB = 1 << 20
 ANSWER_MEMORY_SHARE = 0.25  # of the host's memory, for incomplete answers
 MAX_LOG_LINES_PER_S = 20  # per event; the rest are only counted
@@ -532,24 +529,12 @@
 
     async def _shut_down(self) -> None:
         grace_s = self.facts.bounds.stop_grace_s
-        end_s = self.timer.now() + grace_s - STOP_MARGIN_S
         log_event("stopping", grace_s=grace_s, pending=self.callers.pending)
         self._is_stopping = True
-        self.relay.stops_at_s = end_s
+        stop = PlannedStop(self.timer, self.callers, self.relay, grace_s)
         self.hub.is_leaving = True
         self.hub.report_positions()
-        await self.timer.sleep(min(STOP_NOTICE_S, grace_s * 0.5))
-        self.callers.drain()
-        closing_s = end_s - grace_s * (1.0 - IDLE_CLOSE_SHARE) + STOP_MARGIN_S
-        while self.callers.connections and self.timer.now() < end_s:
-            self.callers.drain()
-            if self.timer.now() >= closing_s:
-                self.callers.stop_accepting()
-                self.callers.close_idle()
-            await self.timer.sleep(0.05)
-        self.relay.end_calls()
-        await self.timer.sleep(LAST_ANSWERS_S)
-        log_event("stopped", cut=self.callers.pending)
+        await stop.run()
         for task in self._tasks:
             task.cancel()
         for listener in (
--- a/src/crocusward/relay/__init__.py
+++ b/src/crocusward/relay/__init__.py
@@ -8,7 +8,7 @@
 from ._messages import CallerAnswer, CallerRequest, make_refusal
 from ._notice_tracker import NoticeTracker
 from ._permits import PermitAnswer
-from ._pipeline import Relay
+from ._pipeline import STOPPING_RETRY_AFTER_S, Relay
 from ._probing import LoadProber
 from ._rate_limits import RateLimitTracker
 from ._requests import RequestLog
@@ -18,6 +18,7 @@
 
 __all__ = [
     "NO_FREE_SLOT",
+    "STOPPING_RETRY_AFTER_S",
     "BackendClient",
     "CallerAnswer",
     "CallerConnection",
--- a/src/crocusward/relay/_caller.py
+++ b/src/crocusward/relay/_caller.py
@@ -22,6 +22,7 @@
 CHUNK_OVERHEAD_BYTES = 65_536
 CHUNK_OVERHEAD_FACTOR = 8
 READ_BUFFER_BYTES = 65_536
+FIRST_REQUEST_TIME_S = 1.0  # from a new connection until its first request is here
 
 
 class RequestHandler(Protocol):
@@ -101,6 +102,7 @@
         "_is_ending",
         "_has_last_request",
         "_framing_bytes",
+        "_is_unused",
     )
 
     def __init__(
@@ -134,6 +136,7 @@
         self._is_draining = False
         self._is_ending = False
         self._has_last_request = False
+        self._is_unused = True
         self._timeout_start_s = now()
         self._start_head()
         self._is_reading_head = False
@@ -157,6 +160,15 @@
         """Whether no request is pending or being read."""
         return not self._pending and not self._is_reading_head
 
+    @property
+    def first_pending_id(self) -> bytes:
+        """Id of the first request that is not answered, b"" if there is none."""
+        return self._pending[0].req.id if self._pending else b""
+
+    def is_new(self, now_s: float) -> bool:
+        """Return whether the first request may still be on its way."""
+        return self._is_unused and now_s - self._timeout_start_s < FIRST_REQUEST_TIME_S
+
     def drain(self) -> None:
         """Close the connection with its next answer, since the daemon is stopping."""
         self._is_draining = True
@@ -223,6 +235,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse received bytes; malformed input ends only this connection."""
+        self._is_unused = False
         if self._linger is not None:
             self._linger.drop(nbytes, self._now())
             return
@@ -487,6 +500,11 @@
         item.answer = answer
         self._write_answers()
 
+    def refuse_incomplete(self, answer: CallerAnswer) -> None:
+        """Refuse a request that was read in part, after all earlier answers."""
+        if self._is_reading_head or self._current is not None:
+            self._reject(answer)
+
     def _reject(self, answer: CallerAnswer) -> None:
         """Answer an incomplete or malformed request after all earlier answers."""
         if self._is_closing or self._is_rejected:
--- a/src/crocusward/relay/_listener.py
+++ b/src/crocusward/relay/_listener.py
@@ -1,15 +1,18 @@
 """Listening socket and the connections that it accepted."""
 
 import asyncio
-from collections.abc import Callable
+import socket
 
 from ..lingering import LingerEnd
 from ..logs import EventSampler, Level
 from ..timing import Subscription, TimerService
 from ..upstream import ReadPacer
 from ._caller import READ_BUFFER_BYTES, CallerConnection, RequestHandler
+from ._messages import CallerAnswer
 
 MAX_LISTEN_BACKLOG = 1024
+# Iterations of the loop from the accept of a connection until its protocol knows it.
+ACCEPT_ITERATIONS = 4
 TIMEOUT_CHECK_PERIOD_S = 0.5
 MAX_LINGERING_CONNECTIONS = 512  # above it, the oldest lingering close is ended
 
@@ -25,6 +28,7 @@
     Attributes:
         connections: Open connections.
         accepted: Number of connections accepted so far.
+        last_opened_s: When a connection was last accepted, in monotonic seconds.
         pacer: Paces the reads of fragmented requests.
         lingering: Connections whose close lingers, the oldest first.
         linger_ends: Number of lingering closes that ended before the caller closed, by
@@ -34,14 +38,17 @@
     __slots__ = (
         "connections",
         "accepted",
+        "last_opened_s",
         "pacer",
         "lingering",
         "linger_ends",
         "_sampler",
         "_handler",
         "_timer",
+        "_buffer",
         "_server",
         "_timeout_check",
+        "_opening",
     )
 
     def __init__(
@@ -56,8 +63,11 @@
         self.pacer = ReadPacer(timer)
         self.connections: set[CallerConnection] = set()
         self.accepted = 0
+        self.last_opened_s = -1e9
+        self._opening: set[asyncio.Task[None]] = set()
         self._handler = handler
         self._timer = timer
+        self._buffer = memoryview(bytearray(READ_BUFFER_BYTES))
         self._server: asyncio.Server | None = None
         self._timeout_check: Subscription | None = None
 
@@ -68,23 +78,8 @@
             OSError: The address is not available.
         """
         loop = asyncio.get_running_loop()
-        now: Callable[[], float] = self._timer.now
-        buffer = memoryview(bytearray(READ_BUFFER_BYTES))
-
-        def make_connection() -> CallerConnection:
-            return CallerConnection(
-                self._handler,
-                now,
-                self.pacer,
-                buffer,
-                self._on_open,
-                self._on_close,
-                self._on_linger,
-                self._on_linger_end,
-            )
-
         self._server = await loop.create_server(
-            make_connection,
+            self._make_connection,
             address,
             port,
             backlog=MAX_LISTEN_BACKLOG,
@@ -94,8 +89,21 @@
             TIMEOUT_CHECK_PERIOD_S, self._check_timeouts
         )
 
+    def _make_connection(self) -> CallerConnection:
+        return CallerConnection(
+            self._handler,
+            self._timer.now,
+            self.pacer,
+            self._buffer,
+            self._on_open,
+            self._on_close,
+            self._on_linger,
+            self._on_linger_end,
+        )
+
     def _on_open(self, conn: CallerConnection) -> None:
         self.accepted += 1
+        self.last_opened_s = self._timer.now()
         self.connections.add(conn)
 
     def _on_close(self, conn: CallerConnection) -> None:
@@ -118,8 +126,9 @@
             self._sampler.log(
                 "caller_connection_cut",
                 Level.WARNING,
-                id=conn.last_id.decode("latin-1"),
+                id=(conn.first_pending_id or conn.last_id).decode("latin-1"),
                 reason=reason,
+                pending=conn.pending,
                 unsent_bytes=conn.unsent_bytes,
             )
 
@@ -143,24 +152,73 @@
         for conn in self.connections:
             conn.drain()
 
+    @property
+    def is_open(self) -> bool:
+        """Whether there are connections, including those just being accepted."""
+        return bool(self.connections or self._opening)
+
     def close_idle(self) -> None:
-        """Close the connections without a pending or partly read request."""
+        """Close the connections without a pending or partly read request.
+
+        The first request of a new connection is waited for.
+        """
+        now_s = self._timer.now()
         for conn in list(self.connections):
-            if conn.is_idle and conn not in self.lingering:
+            if conn.is_idle and conn not in self.lingering and not conn.is_new(now_s):
                 conn.close()
 
-    def stop_accepting(self) -> None:
-        """Close the listening socket."""
-        if self._server is not None:
-            self._server.close()
-            self._server = None
+    def refuse_incomplete(self, answer: CallerAnswer) -> None:
+        """Refuse the requests that were read in part."""
+        for conn in list(self.connections):
+            conn.refuse_incomplete(answer)
+
+    async def end_intake(self) -> None:
+        """Accept what the kernel has queued, then refuse new connections.
+
+        Returns once ``connections`` holds all that were accepted.
+        """
+        server, self._server = self._server, None
+        if server is None:
+            return
+        # The copy keeps the port open until the queue is empty.
+        sock = server.sockets[0].dup()
+        server.close()
+        loop = asyncio.get_running_loop()
+        for conn in accept_queued(sock):
+            task = loop.create_task(self._adopt(conn))
+            self._opening.add(task)
+            task.add_done_callback(self._opening.discard)
+        sock.close()
+        for _ in range(ACCEPT_ITERATIONS):
+            await asyncio.sleep(0.0)
+
+    async def _adopt(self, conn: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        await loop.connect_accepted_socket(self._make_connection, conn)
 
     def close(self) -> None:
         """Close the socket and abort all connections."""
-        self.stop_accepting()
+        if self._server is not None:
+            self._server.close()
+            self._server = None
         if self._timeout_check is not None:
             self._timeout_check.cancel()
+        for task in self._opening:
+            task.cancel()
         for conn in list(self.connections):
-            if conn.unsent_bytes:
+            if conn.unsent_bytes or conn.pending:
                 self._log_cut(conn, "stopped")
             conn.abort()
+
+
+def accept_queued(sock: socket.socket) -> list[socket.socket]:
+    """Accept the connections that wait at a non-blocking listening socket."""
+    found: list[socket.socket] = []
+    while len(found) < MAX_LISTEN_BACKLOG:
+        try:
+            conn, _ = sock.accept()
+        except OSError:  # none is left, or no file descriptor
+            break
+        conn.setblocking(False)
+        found.append(conn)
+    return found
--- a/src/crocusward/relay/_pipeline.py
+++ b/src/crocusward/relay/_pipeline.py
@@ -1,6 +1,7 @@
 """Request processing: routing, backend selection, attempts, retries and hedging."""
 
 import asyncio
+from collections import Counter
 
 from ..desired import CallerLimits, Directory, RouteRule
 from ..errors import NotSentError
@@ -36,6 +37,7 @@
 STOPPING_RETRY_AFTER_S = 0.05  # other hosts accept the caller's next connection
 ROUTE_CHANGED_RETRY_AFTER_S = 0.05  # earlier requests may be answered by then
 STARTING_RETRY_AFTER_S = 0.5  # a desired state is normally loaded by then
+STOP_ENDS = ("admitted", "refused", "ended", "cut")  # of requests beside a stop
 BODY_MEMORY_SHARE = 0.25  # share of the host's memory for request bodies
 BYTES_PER_MB = 1 << 20
 MAX_CRASH_CHECK_WAIT_S = 0.1  # before a repeat, for servers that stay silent
@@ -71,12 +73,16 @@
         limits: Limits on the requests of callers.
         stops_at_s: When the daemon stops, in monotonic seconds, or None. A request
             whose deadline is later is refused, since it could be cut off.
+        stop_requests: Requests that came during the stop, by what became of them:
+            "admitted", "refused", "ended" (answered by the end of the grace time) and
+            "cut" (without an answer); the last two count earlier requests as well.
         start_gate: Holds requests until the daemon has loaded its first rows.
     """
 
     __slots__ = (
         "limits",
         "stops_at_s",
+        "stop_requests",
         "start_gate",
         "answer_memory",
         "_timer",
@@ -122,6 +128,7 @@
         self.answer_memory = answer_memory
         self.limits: CallerLimits = DEFAULT_LIMITS
         self.stops_at_s: float | None = None
+        self.stop_requests = Counter(dict.fromkeys(STOP_ENDS, 0))
         self.start_gate = StartGate(timer, directory)
         self._timer = timer
         self._directory = directory
@@ -189,7 +196,7 @@
         limit_s = route.timeout_s
         if req.time_left_s is not None:
             limit_s = min(limit_s, req.time_left_s)
-        if self.stops_at_s is not None and req.received_s + limit_s > self.stops_at_s:
+        if not self._admit_beside_stop(req.received_s + limit_s):
             refused = self._log.refuse_early(
                 req, route.name, "stopping", 503, STOPPING_RETRY_AFTER_S
             )
@@ -215,6 +222,14 @@
             self._until_stop.discard(until_stop)
         return answer
 
+    def _admit_beside_stop(self, deadline_s: float) -> bool:
+        """Return whether a request ends before the host does, and count it."""
+        if self.stops_at_s is None:
+            return True
+        is_admitted = deadline_s <= self.stops_at_s
+        self.stop_requests["admitted" if is_admitted else "refused"] += 1
+        return is_admitted
+
     def end_calls(self) -> None:
         """Answer all requests at once, since the daemon is about to end."""
         now_s = asyncio.get_running_loop().time()
@@ -223,6 +238,7 @@
 
     def _end_at_stop(self, call: Call) -> CallerAnswer:
         """Answer a request that could not end before the daemon does."""
+        self.stop_requests["ended"] += 1
         if call.attempts or call.may_have_run:
             answer = self._fail(call, 504, "the host stops")
         else:
--- a/tests/test_lingering_close.py
+++ b/tests/test_lingering_close.py
@@ -125,7 +125,8 @@
         with mock.patch.object(_listener, "MAX_LINGERING_CONNECTIONS", 2):
             async with self.relay() as relay:
                 clients = [await relay.client() for _ in range(4)]
-                await asyncio.sleep(0.05)
+                for client in clients:  # a connection is kept for its first request
+                    await client.ask(path="/no-route")
                 relay.listener.close_idle()
                 self.assertEqual(len(relay.listener.lingering), 2)
                 self.assertEqual(relay.listener.linger_ends[LingerEnd.DISPLACED], 2)
