Keep connections that are accepted or in a handshake as a server closes

Callers saw: a connection that the loop had accepted just before a listener closed hung without an answer or a close, and one in its TLS handshake was closed when the own interface stopped.

Evidence: test_connection_that_the_loop_has_just_accepted_is_answered times out on the code before when the drain begins two or three iterations after the accept; in test_drain_waits_for_a_handshake the stop is over there while the handshake runs.

Change: accepting.end_accepting stops the accepts, lets those known to the loop open, takes what the kernel has queued, and closes. Both servers use it in place of their own copies. The own interface waits up to 1 s for handshakes.

--- a/src/crocusward/devtools/entry_soak/_network.py
+++ b/src/crocusward/devtools/entry_soak/_network.py
@@ -1,6 +1,7 @@
 """A network in virtual time: connections that may fall silent, and datagrams."""
 
 import asyncio
+import contextlib
 import random
 import socket
 from collections.abc import Callable
@@ -121,7 +122,7 @@
         return self._address
 
     def dup(self):
-        return self
+        return contextlib.nullcontext(self)
 
     def accept(self):
         raise BlockingIOError
@@ -201,6 +202,10 @@
         self.listeners[(host, port)] = protocol_factory
         return SimulatedListener(self, (host, port))
 
+    def remove_reader(self, fd):
+        """Stop to watch a socket; simulated ones are not watched."""
+        return False if isinstance(fd, SimulatedListener) else super().remove_reader(fd)
+
     async def create_datagram_endpoint(
         self, protocol_factory, local_addr=None, *args, **options
     ):
--- a/src/crocusward/relay/_caller.py
+++ b/src/crocusward/relay/_caller.py
@@ -7,6 +7,7 @@
 
 import httptools
 
+from ..accepting import ACCEPT_TIME_S
 from ..desired import CallerLimits
 from ..framing import RequestParser
 from ..lingering import LingerEnd, LingeringClose
@@ -22,7 +23,6 @@
 CHUNK_OVERHEAD_BYTES = 65_536
 CHUNK_OVERHEAD_FACTOR = 8
 READ_BUFFER_BYTES = 65_536
-FIRST_REQUEST_TIME_S = 1.0  # from a new connection until its first request is here
 
 
 class RequestHandler(Protocol):
@@ -167,7 +167,7 @@
 
     def is_new(self, now_s: float) -> bool:
         """Return whether the first request may still be on its way."""
-        return self._is_unused and now_s - self._timeout_start_s < FIRST_REQUEST_TIME_S
+        return self._is_unused and now_s - self._timeout_start_s < ACCEPT_TIME_S
 
     def drain(self) -> None:
         """Close the connection with its next answer, since the daemon is stopping."""
--- a/src/crocusward/relay/_listener.py
+++ b/src/crocusward/relay/_listener.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 
+from ..accepting import end_accepting
 from ..lingering import LingerEnd
 from ..logs import EventSampler, Level
 from ..timing import Subscription, TimerService
@@ -11,8 +12,6 @@
 from ._messages import CallerAnswer
 
 MAX_LISTEN_BACKLOG = 1024
-# Iterations of the loop from the accept of a connection until its protocol knows it.
-ACCEPT_ITERATIONS = 4
 TIMEOUT_CHECK_PERIOD_S = 0.5
 MAX_LINGERING_CONNECTIONS = 512  # above it, the oldest lingering close is ended
 
@@ -180,17 +179,13 @@
         server, self._server = self._server, None
         if server is None:
             return
-        # The copy keeps the port open until the queue is empty.
-        sock = server.sockets[0].dup()
-        server.close()
         loop = asyncio.get_running_loop()
-        for conn in accept_queued(sock):
+        for conn in await end_accepting(server):
             task = loop.create_task(self._adopt(conn))
             self._opening.add(task)
             task.add_done_callback(self._opening.discard)
-        sock.close()
-        for _ in range(ACCEPT_ITERATIONS):
-            await asyncio.sleep(0.0)
+        if self._opening:
+            await asyncio.wait(self._opening)
 
     async def _adopt(self, conn: socket.socket) -> None:
         loop = asyncio.get_running_loop()
@@ -209,16 +204,3 @@
             if conn.unsent_bytes or conn.pending:
                 self._log_cut(conn, "stopped")
             conn.abort()
-
-
-def accept_queued(sock: socket.socket) -> list[socket.socket]:
-    """Accept the connections that wait at a non-blocking listening socket."""
-    found: list[socket.socket] = []
-    while len(found) < MAX_LISTEN_BACKLOG:
-        try:
-            conn, _ = sock.accept()
-        except OSError:  # none is left, or no file descriptor
-            break
-        conn.setblocking(False)
-        found.append(conn)
-    return found
--- a/src/crocusward/server/_http_server.py
+++ b/src/crocusward/server/_http_server.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import socket
+from collections.abc import Coroutine
 from pathlib import Path
 from typing import Any
+from weakref import WeakKeyDictionary
 
 import uvicorn
 from uvicorn.server import ServerState
 
+from ..accepting import ACCEPT_TIME_S, end_accepting
 from ..invariants import InvariantName, Invariants
 from ..timing import Subscription, TimerService
 from ..upstream import ReadPacer
@@ -46,6 +49,7 @@
         "_sock",
         "_server",
         "_sweep",
+        "_made_s",
     )
 
     def __init__(
@@ -69,6 +73,7 @@
         self._sock: socket.socket | None = None
         self._server: asyncio.Server | None = None
         self._sweep: Subscription | None = None
+        self._made_s: WeakKeyDictionary[CallProtocol, float] = WeakKeyDictionary()
 
     @property
     def port(self) -> int:
@@ -97,27 +102,27 @@
         await self._app.start()
         self._sock = sock = sock or _bind(address, port)
         sock.setblocking(False)
-        # The loop closes its own copy; this one stays open until the connections
-        # that the kernel has already completed are accepted.
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            self._make_protocol, sock=sock.dup(), ssl=self._config.ssl, backlog=BACKLOG
+            self._make_protocol, sock=sock, ssl=self._config.ssl, backlog=BACKLOG
         )
         self._sweep = self._timer.every(SWEEP_PERIOD_S, self._close_unused)
 
     def stop_accepting(self) -> None:
         """Accept what the kernel has queued, then refuse new connections."""
-        if self._server is not None:
-            self._server.close()
-        sock, self._sock = self._sock, None
-        if sock is None:
-            return
-        loop = asyncio.get_running_loop()
-        for conn in _accept_queued(sock):
-            task = loop.create_task(self._adopt(conn))
-            self._state.tasks.add(task)
-            task.add_done_callback(self._state.tasks.discard)
-        sock.close()
+        server, self._server = self._server, None
+        self._sock = None
+        if server is not None:
+            self._start_task(self._end_intake(server))
+
+    async def _end_intake(self, server: asyncio.Server) -> None:
+        for conn in await end_accepting(server):
+            self._start_task(self._adopt(conn))
+
+    def _start_task(self, coro: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(coro)
+        self._state.tasks.add(task)
+        task.add_done_callback(self._state.tasks.discard)
 
     async def drain(self, timeout_s: float) -> int:
         """Let requests finish and close connections as they become idle.
@@ -167,16 +172,28 @@
         return list(self._state.connections)
 
     def _is_active(self) -> bool:
-        return bool(self._state.connections or self._state.tasks)
+        return bool(
+            self._state.connections or self._state.tasks or self._has_handshake()
+        )
+
+    def _has_handshake(self) -> bool:
+        """Return whether an accepted connection may still end its TLS handshake."""
+        now_s = self._timer.now()
+        return any(
+            protocol.transport is None and now_s - made_s < ACCEPT_TIME_S
+            for protocol, made_s in self._made_s.items()
+        )
 
     def _make_protocol(self) -> CallProtocol:
-        return CallProtocol(
+        protocol = CallProtocol(
             self._buffer,
             self._pacer,
             config=self._config,
             server_state=self._state,
             app_state={},
         )
+        self._made_s[protocol] = self._timer.now()
+        return protocol
 
     async def _adopt(self, conn: socket.socket) -> None:
         loop = asyncio.get_running_loop()
@@ -220,15 +237,3 @@
         sock.close()
         raise
     return sock
-
-
-def _accept_queued(sock: socket.socket) -> list[socket.socket]:
-    accepted: list[socket.socket] = []
-    while len(accepted) < BACKLOG:
-        try:
-            conn, _ = sock.accept()
-        except OSError:
-            break
-        conn.setblocking(False)
-        accepted.append(conn)
-    return accepted
--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+import socket
 
 from crocusward.errors import NotSentError
 from crocusward.invariants import InvariantName
@@ -216,6 +217,23 @@
         with self.assertRaises(ConnectionError):
             await self.connect()
 
+    async def test_connection_that_the_loop_has_just_accepted_is_answered(self):
+        """Guards against a drain that ends before a connection is known."""
+        for iterations in range(4):
+            with self.subTest(iterations=iterations):
+                await self.asyncSetUp()
+                client = socket.create_connection(("127.0.0.1", self.port))
+                client.sendall(
+                    b"GET /svc/x HTTP/1.1\r\ncrocusward-contract: c1\r\n\r\n"
+                )
+                for _ in range(iterations):
+                    await asyncio.sleep(0)
+                await self.server.drain(5.0)
+                await self.server.close()
+                with client:
+                    client.settimeout(2.0)
+                    self.assertEqual(client.recv(12), b"HTTP/1.1 200")
+
     async def test_drain_waits_until_answers_are_taken(self):
         """Guards against cutting an answer that a slow caller still reads."""
         body = b"x" * 8_000_000
--- a/tests/test_server_tls.py
+++ b/tests/test_server_tls.py
@@ -1,5 +1,7 @@
 """TLS of the HTTP server, with a certificate that is only for tests."""
 
+import asyncio
+import socket
 import ssl
 from pathlib import Path
 
@@ -23,6 +25,31 @@
         self.assertTrue(await client.at_eof())
         self.assertEqual(self.server.connections, 0)
 
+    async def test_drain_waits_for_a_handshake(self):
+        """Guards against a drain that ends while a connection is in its handshake."""
+        context = ssl.create_default_context(cafile=str(TLS_DIR / "cert.pem"))
+        plain = socket.create_connection(("127.0.0.1", self.port), 2.0)
+        await asyncio.sleep(0.05)  # the loop accepts it
+
+        async def stop():
+            await self.server.drain(5.0)
+            await self.server.close()
+
+        stopped = asyncio.create_task(stop())
+        await asyncio.sleep(0.1)
+        self.assertFalse(stopped.done())
+
+        def ask():
+            with context.wrap_socket(plain, server_hostname="127.0.0.1") as client:
+                client.sendall(
+                    b"GET /svc/x HTTP/1.1\r\ncrocusward-contract: c1\r\n\r\n"
+                )
+                return client.recv(12)
+
+        answer = await asyncio.to_thread(ask)
+        self.assertEqual(answer, b"HTTP/1.1 200")
+        await stopped
+
     async def test_large_pipelined_requests_over_tls(self):
         """Guards against a read buffer that is smaller than what TLS has ready."""
         self.handler.delay_s = 0.02
