Tell the limit of another group's server until it is confirmed

Cause: the limit was told once, by one datagram, to a random host of the group that owns the server, perhaps one that is gone. The group then offered slots that it counted against nothing, and the daemon that knew the limit used them.

Change: a change is reported to one host after another until one of that data centre confirms it. Offers name the rate of their permits; one that is no permit for the limit, or the cold time, that the asker was told is given back, and its sender is told. Hosts that leave requests unanswered are avoided for a while. Logs, metrics and explain say who was told, when, and who confirmed. Messages gain fields at their ends, which the build before skips.

--- a/src/crocusward/cli/_explain.py
+++ b/src/crocusward/cli/_explain.py
@@ -44,10 +44,13 @@
 BACKEND_EVENTS = frozenset(
     {
         "backend_entry_ignored",
+        "backend_cold_learned",
         "backend_leaving_learned",
         "backend_limit_changed",
+        "backend_limit_confirmed",
         "backend_limit_ended",
         "backend_limit_learned",
+        "backend_limit_reported",
         "backend_listed",
         "backend_pause_learned",
         "backend_removed",
--- a/src/crocusward/devtools/entry_soak/_slot_offers.py
+++ b/src/crocusward/devtools/entry_soak/_slot_offers.py
@@ -7,6 +7,7 @@
 
 from ...desired import BackendEntry, EntryHost, RouteRule, WeightedService
 from ...entryd._slot_broker import SlotBroker, make_first_token
+from ...entryd._unanswering_hosts import UnansweringHosts
 from ...logs import EventSampler
 from ...neighbours import NeighbourEndpoint, SlotOffer, SlotRelease, SlotRequest
 from ...placing import BackendLoad, Selection, SelectionRequest, SelectionVerdict
@@ -123,6 +124,8 @@
             lambda sender: "",
             timer.now,
             make_first_token(self._start_ms, rng),
+            lambda *limit: None,
+            UnansweringHosts(timer.now),
         )
 
     async def _reserve(
--- a/src/crocusward/entryd/_exposition.py
+++ b/src/crocusward/entryd/_exposition.py
@@ -26,6 +26,7 @@
         "backends_rate_limited": sum(
             bool(load.rate_limit) for load in process.load_table.loads.values()
         ),
+        "limits_unconfirmed": process.hub.unconfirmed_limits,
         "neighbours_live": len(process.neighbours.list_live(now_s)),
         "hosts_known": process.hub.fleet_size,
         "requests_pending": process.callers.pending,
--- a/src/crocusward/entryd/_hub.py
+++ b/src/crocusward/entryd/_hub.py
@@ -33,6 +33,7 @@
 from ._crash_exchange import CrashExchange
 from ._rate_limit_exchange import RateLimitExchange
 from ._slot_broker import SlotBroker, make_first_token
+from ._unanswering_hosts import UnansweringHosts
 
 REPORT_PERIOD_S = 0.25  # a neighbour counts as silent after three lost reports
 MAX_REPORTS_PER_S = 120.0  # sent by one host; many neighbours get fewer reports each
@@ -79,6 +80,7 @@
         "waiting",
         "_facts",
         "_slot_broker",
+        "_unanswering",
         "_groups",
         "_other_readers",
         "_is_reader",
@@ -146,6 +148,7 @@
         self._store_age_s = store_age_s
         self._on_capacity = on_capacity
         self._on_report = on_report
+        self._unanswering = UnansweringHosts(timer.now)
         self._slot_broker = SlotBroker(
             timer,
             rng,
@@ -157,15 +160,20 @@
             neighbours.find_host,
             limit_clock,
             make_first_token(incarnation, rng),
+            lambda *limit: self._rate_limits.apply_offer(*limit),
+            self._unanswering,
         )
         self._rate_limits = RateLimitExchange(
             facts.name,
+            facts.data_centre,
             limit_clock,
             rng,
             book,
             rate_limits,
+            sampler,
             self._endpoint.send,
-            self._group_addresses,
+            self._list_group_hosts,
+            self._data_centre_of,
         )
         self._crashes = CrashExchange(
             facts.name,
@@ -229,6 +237,11 @@
         """Number of known hosts, including this one."""
         return len(self._hosts)
 
+    @property
+    def unconfirmed_limits(self) -> int:
+        """Number of limits that other groups have not confirmed."""
+        return len(self._rate_limits.unconfirmed)
+
     @property
     def ignored_offers(self) -> dict[str, int]:
         """Number of slot offers that were not used, by reason."""
@@ -292,14 +305,23 @@
             if is_own and not is_known:
                 self._add_neighbour(host)
 
-    def _group_addresses(self, group: str) -> list[str]:
-        """Return the addresses of the other hosts of a group."""
-        return [
-            host.address
+    def _list_group_hosts(self, group: str) -> list[EntryHost]:
+        """Return the other hosts of a group that do not seem to be gone."""
+        hosts = [
+            host
             for host in self._hosts.values()
             if self._groups.of_host(host.host) == group
             and host.host != self._facts.name
         ]
+        return hosts if group == self._groups.own else self._unanswering.prefer(hosts)
+
+    def _group_addresses(self, group: str) -> list[str]:
+        """Return the addresses of the other hosts of a group."""
+        return [host.address for host in self._list_group_hosts(group)]
+
+    def _data_centre_of(self, host: str) -> str:
+        known = self._hosts.get(host)
+        return known.data_centre if known is not None else ""
 
     def _other_addresses(self) -> list[str]:
         """Return the addresses of all other known hosts."""
@@ -335,6 +357,7 @@
         message: Message,
         sender: str,
     ) -> None:
+        self._unanswering.note_heard(sender)
         if isinstance(message, HostReport):
             self._apply_report(message, sender)
         elif isinstance(message, Hello):
@@ -349,7 +372,7 @@
             self._book.record_idle_shares(message.group, message.idle)
             self._idle_summaries[message.group] = message
         elif isinstance(message, RateLimitReport):
-            self._rate_limits.apply(message)
+            self._rate_limits.apply(message, sender)
         elif isinstance(message, CrashReport):
             self._crashes.apply(message)
         elif isinstance(message, SlotRequest | SlotRelease | SlotOffer):
@@ -438,7 +461,8 @@
                 by_group.setdefault(group, []).append(host)
         summary = IdleSummary(own, self._book.own_idle_percentages())
         for hosts in by_group.values():
-            self._endpoint.send(summary, [self._rng.choice(hosts).address])
+            host = self._rng.choice(self._unanswering.prefer(hosts))
+            self._endpoint.send(summary, [host.address])
 
     # Slots in other groups.
 
@@ -468,6 +492,10 @@
             req, self._groups.own, [host], True, max_wait_s, is_permit=True
         )
 
+    def report_limit(self, load: BackendLoad, address: str) -> None:
+        """Report the limit of a server to a host that offered it without a permit."""
+        self._rate_limits.report_without_permit(load, address)
+
     def release(self, slot: ReservedSlot) -> None:
         """Release a slot that another group reserved."""
         self._slot_broker.release_slot(slot)
@@ -481,6 +509,8 @@
         self._changed_backends.add(load.entry.id)
         if observation is not None:
             self._observations.append(observation)
+            if observation.cold_left_s > 0.0:
+                self._rate_limits.report_cold(load, self._timer.now())
         if not self._is_flush_scheduled:
             self._is_flush_scheduled = True
             asyncio.get_running_loop().call_soon(self._flush)
@@ -550,6 +580,7 @@
         if self._neighbours.neighbours:
             self._send_pending(self._make_complete_report())
             self._rate_limits.report_all()
+        self._rate_limits.repeat_unconfirmed()
         self._report_to_other_groups()
         self._check_silence()
 
--- a/src/crocusward/entryd/_slot_broker.py
+++ b/src/crocusward/entryd/_slot_broker.py
@@ -15,11 +15,11 @@
 from ..placing import PERMIT_LIFETIME_S, Selection, SelectionRequest
 from ..relay import NO_FREE_SLOT, PermitAnswer, ReservedSlot
 from ..timing import TimerService
+from ._unanswering_hosts import UnansweringHosts
 
 INITIAL_REPLY_TIME_S = 0.1  # assumed for a group before its first answer
 REPLY_MARGIN_S = 0.06  # for a busy host, and for the probes it makes before it answers
 REPLY_TIMEOUT_FACTOR = 1.5  # times the average reply time of the group
-UNANSWERED_PAUSE_S = 2.0  # an unresponsive host gets no requests for this long
 REPLY_TIME_WEIGHT = 0.1  # of the newest answer in the moving average
 TOKEN_SPREAD_BITS = 22  # below the start time in a first token; it fits in 63 bits
 
@@ -66,6 +66,9 @@
         neighbour_at: Returns the neighbour with an IP address, "" if there is none.
         limit_clock: Clock of rate limits, in seconds.
         first_token: Number of the first slot request, see ``make_first_token``.
+        on_limit: Called with a host, the server that it offers, the rate limit of that
+            server in requests per second, and the age of that knowledge in seconds.
+        unanswering: Hosts that leave requests unanswered.
 
     Attributes:
         ignored_offers: Number of offers that were not used, by reason: "not_awaited"
@@ -83,11 +86,12 @@
         "_issue_permit",
         "_neighbour_at",
         "_limit_clock",
+        "_on_limit",
         "_answer_tasks",
         "_pending_offers",
         "_held_tokens",
         "_reply_times_s",
-        "_paused_until_s",
+        "_unanswering",
         "_last_token",
     )
 
@@ -103,6 +107,8 @@
         neighbour_at: Callable[[str], str],
         limit_clock: Callable[[], float],
         first_token: int,
+        on_limit: Callable[[EntryHost, str, float, float], object],
+        unanswering: UnansweringHosts,
     ) -> None:
         self.ignored_offers = {"not_awaited": 0, "other_sender": 0}
         self._timer = timer
@@ -114,11 +120,12 @@
         self._issue_permit = issue_permit
         self._neighbour_at = neighbour_at
         self._limit_clock = limit_clock
+        self._on_limit = on_limit
         self._answer_tasks: dict[tuple[str, int], asyncio.Task[None]] = {}
         self._pending_offers: dict[int, _PendingOffer] = {}
         self._held_tokens: set[int] = set()  # of slots in use
         self._reply_times_s: dict[str, float] = {}
-        self._paused_until_s: dict[str, float] = {}
+        self._unanswering = unanswering
         self._last_token = first_token
 
     async def request_slot(
@@ -151,9 +158,7 @@
         """
         event = "permit" if is_permit else "place"
         now_s = self._timer.now()
-        responsive = [
-            h for h in hosts if self._paused_until_s.get(h.host, -1.0) < now_s
-        ]
+        responsive = self._unanswering.list_responsive(hosts)
         if not responsive:
             return None
         host = self._rng.choice(responsive)
@@ -174,7 +179,7 @@
             request, host, max_wait_s + REPLY_TIMEOUT_FACTOR * reply_time_s
         )
         if offer is None:
-            self._paused_until_s[host.host] = now_s + UNANSWERED_PAUSE_S
+            self._unanswering.note_unanswered(host.address)
             self._sampler.log(
                 f"{event}_ask_unanswered",
                 id=req.id,
@@ -198,6 +203,10 @@
         )
         if offer.backend != NO_FREE_SLOT and not is_permit:
             self._held_tokens.add(token)
+        if offer.limit_age_s >= 0.0:
+            # The answer may have been read late, so its age counts from the request on.
+            age_s = offer.limit_age_s + self._limit_clock() - asked_s
+            self._on_limit(host, offer.backend, offer.limit_per_s, age_s)
         return ReservedSlot(
             offer.backend,
             host.address,
@@ -206,6 +215,8 @@
             offer.in_flight,
             offer.retry_after_s,
             asked_s + offer.waited_s + PERMIT_LIFETIME_S,
+            offer.permit_per_s,
+            is_permit,
         )
 
     async def _send_request(
@@ -301,6 +312,13 @@
                 selection.slowdown if selection.is_slowdown_current else 0.0
             )
             offer.in_flight = int(selection.in_flight)
+            load = selection.load
+            offer.permit_per_s = load.limit_per_s(self._timer.now())
+            if load.rate_limit.is_known:
+                offer.limit_per_s = load.rate_limit.per_s
+                offer.limit_age_s = max(
+                    0.0, self._limit_clock() - load.rate_limit.known_s
+                )
         self._endpoint.send(offer, [sender])
 
     async def _answer_permit_request(
--- a/src/crocusward/neighbours/_codec.py
+++ b/src/crocusward/neighbours/_codec.py
@@ -36,6 +36,7 @@
 CRASH_ID_BYTES = 8
 MAX_COUNT = 2**53  # up to here a float holds each integer
 MAX_AGE_S = 1e9
+MAX_COLD_S = 3600.0  # longer than any server takes to get warm
 MAX_RATE_LIMIT_PER_S = 1e9  # above any value that a server may name
 
 Message = (
@@ -81,7 +82,10 @@
     if isinstance(message, IdleSummary):
         return cbor2.dumps([IDLE_SUMMARY, message.group, message.idle])
     if isinstance(message, RateLimitReport):
-        return cbor2.dumps([RATE_LIMITS, message.host, message.limits])
+        limits: list[Any] = [RATE_LIMITS, message.host, message.limits]
+        if message.cold_left_s:
+            limits.append(message.cold_left_s)
+        return cbor2.dumps(limits)
     if isinstance(message, CrashReport):
         return cbor2.dumps(
             [CRASHES, message.host, [_encode_crashes(r) for r in message.requests]]
@@ -94,8 +98,11 @@
             message.slowdown,
             message.in_flight,
         ]
-        if message.retry_after_s > 0.0 or message.waited_s > 0.0:
+        is_limited = message.permit_per_s > 0.0 or message.limit_age_s >= 0.0
+        if message.retry_after_s > 0.0 or message.waited_s > 0.0 or is_limited:
             offer += [message.retry_after_s, int(message.waited_s * MS_PER_S)]
+        if is_limited:
+            offer += [message.permit_per_s, message.limit_per_s, message.limit_age_s]
         return cbor2.dumps(offer)
     hosts = [_encode_host(item) for item in message.hosts]
     return cbor2.dumps([MEMBER_LIST, hosts])
@@ -181,9 +188,10 @@
                 int(in_flight),
                 float(rest[0]) if rest else 0.0,
                 int(rest[1]) / MS_PER_S if len(rest) > 1 else 0.0,
+                *_check_offered_limit(rest[2:5]),
             )
         if kind == RATE_LIMITS:
-            return RateLimitReport(*_check_rate_limits(fields[1], fields[2]))
+            return _decode_rate_limits(fields[1:])
         if kind == CRASHES:
             _check_three_strings([fields[1], "", ""])
             return CrashReport(fields[1], [_decode_crashes(r) for r in fields[2]])
@@ -263,9 +271,20 @@
     return IdleSummary(group, _check_counts(idle))
 
 
-def _check_rate_limits(
-    host: Any, limits: Any
-) -> tuple[str, dict[str, tuple[float, float]]]:
+def _check_offered_limit(fields: list[Any]) -> list[float]:
+    """Return the last three fields of an offer; none from hosts that lack them."""
+    if len(fields) < 3:
+        return []
+    permit_per_s, limit_per_s, age_s = fields
+    return [
+        _check_number(permit_per_s, 0.0, MAX_RATE_LIMIT_PER_S),
+        _check_number(limit_per_s, 0.0, MAX_RATE_LIMIT_PER_S),
+        _check_number(age_s, -1.0, MAX_AGE_S),
+    ]
+
+
+def _decode_rate_limits(fields: list[Any]) -> RateLimitReport:
+    host, limits, *rest = fields
     _check_three_strings([host, "", ""])
     checked = {}
     for id, (per_s, age_s) in limits.items():
@@ -273,7 +292,11 @@
         if not (0.0 <= per_s <= MAX_RATE_LIMIT_PER_S and age_s >= 0.0):
             raise ValueError("malformed rate limit")
         checked[str(id)] = (float(per_s), float(age_s))
-    return host, checked
+    cold_left_s = {
+        str(id): _check_number(left_s, 0.0, MAX_COLD_S)
+        for id, left_s in (rest[0].items() if rest else ())
+    }
+    return RateLimitReport(host, checked, cold_left_s)
 
 
 def _decode_crashes(item: list[Any]) -> CrashSummary:
--- a/src/crocusward/neighbours/_messages.py
+++ b/src/crocusward/neighbours/_messages.py
@@ -164,19 +164,30 @@
 
 
 class RateLimitReport(Record):
-    """Rate limits of backend servers that a host knows.
+    """Rate limits and cold times of backend servers that a host knows.
+
+    A host of another group is answered with the same message: what the receiver knows
+    of the servers of its group among them.
 
     Attributes:
         host: Name of the host.
         limits: Limit in requests per second and age of that knowledge in seconds, by
             backend server. 0.0 if a limit has ended, as the host saw itself.
+        cold_left_s: Time until a server is warm, by backend server; only of servers
+            that the receiver may take for warm.
     """
 
-    __slots__ = ("host", "limits")
+    __slots__ = ("host", "limits", "cold_left_s")
 
-    def __init__(self, host: str, limits: Mapping[str, tuple[float, float]]) -> None:
+    def __init__(
+        self,
+        host: str,
+        limits: Mapping[str, tuple[float, float]],
+        cold_left_s: Mapping[str, float] | None = None,
+    ) -> None:
         self.host = host
         self.limits = dict(limits)
+        self.cold_left_s = dict(cold_left_s or {})
 
 
 class CrashReport(Record):
@@ -263,6 +274,10 @@
         retry_after_s: When a slot is expected, if there is none; 0.0 if unknown. Sent
             only by the coordinator of a rate-limited service.
         waited_s: How long the request waited for its permit at the coordinator.
+        permit_per_s: Rate of the permits of which the offer is one, in requests per
+            second; 0.0 if the sender knows no limit of the server.
+        limit_per_s: Limit that the server named, as the sender knows it.
+        limit_age_s: Age of that knowledge, -1 if it has none.
     """
 
     __slots__ = (
@@ -272,6 +287,9 @@
         "in_flight",
         "retry_after_s",
         "waited_s",
+        "permit_per_s",
+        "limit_per_s",
+        "limit_age_s",
     )
 
     def __init__(
@@ -282,6 +300,9 @@
         in_flight: int = 0,
         retry_after_s: float = 0.0,
         waited_s: float = 0.0,
+        permit_per_s: float = 0.0,
+        limit_per_s: float = 0.0,
+        limit_age_s: float = -1.0,
     ) -> None:
         self.token = token
         self.backend = backend
@@ -289,6 +310,9 @@
         self.in_flight = in_flight
         self.retry_after_s = retry_after_s
         self.waited_s = waited_s
+        self.permit_per_s = permit_per_s
+        self.limit_per_s = limit_per_s
+        self.limit_age_s = limit_age_s
 
 
 class SlotRelease(Record):
--- a/src/crocusward/placing/_load.py
+++ b/src/crocusward/placing/_load.py
@@ -43,6 +43,7 @@
         is_unreachable: Whether the last connection to it failed.
         ejected_until_s: Monotonic time until which it is ejected.
         cold_until_s: Monotonic time until which it is cold.
+        cold_told_until_s: The same, as its own answers said; entries may be older.
         cold_rate_per_s: Requests per second that it takes from all hosts together while
             it is cold.
         cold_burst: Requests that it takes at once while it is cold.
@@ -64,6 +65,7 @@
         "is_unreachable",
         "ejected_until_s",
         "cold_until_s",
+        "cold_told_until_s",
         "cold_rate_per_s",
         "cold_burst",
         "rate_limit",
@@ -96,6 +98,7 @@
         self.is_unreachable = False
         self.ejected_until_s = -1.0
         self.cold_until_s = -1.0
+        self.cold_told_until_s = -1.0
         self.cold_rate_per_s = DEFAULT_COLD_RATE_PER_S
         self.cold_burst = DEFAULT_COLD_BURST
         self.rate_limit = ServerRateLimit()
@@ -214,6 +217,7 @@
             self._slowdown_at_s = now_s
         if observation.cold_left_s >= 0.0:
             self.set_cold_until(now_s + observation.cold_left_s, now_s)
+            self.cold_told_until_s = self.cold_until_s
         kind = observation.kind
         if kind is ObservationKind.ANSWERED:
             self._answered_at_s = now_s
@@ -329,6 +333,20 @@
             return named
         return min(named, self.cold_rate_per_s) if named else self.cold_rate_per_s
 
+    def told_limit_per_s(self, now_s: float) -> float:
+        """Return the rate that the server itself has told hosts, or ``NO_LIMIT``."""
+        named = self.rate_limit.per_s
+        if now_s >= self.cold_told_until_s:
+            return named
+        return min(named, self.cold_rate_per_s) if named else self.cold_rate_per_s
+
+    def extend_told_cold(self, until_s: float, now_s: float) -> bool:
+        """Apply a cold time that another host was told; return whether it is news."""
+        self.cold_told_until_s = max(self.cold_told_until_s, until_s)
+        is_news = not self.is_cold(now_s) and until_s > now_s
+        self.extend_cold(until_s, now_s)
+        return is_news
+
     def is_limited(self, now_s: float) -> bool:
         """Return whether all hosts together must keep to a rate now."""
         return self.limit_per_s(now_s) > NO_LIMIT
--- a/src/crocusward/placing/_load_table.py
+++ b/src/crocusward/placing/_load_table.py
@@ -160,6 +160,15 @@
         load.cold_rate_per_s = max(MIN_COLD_RATE_PER_S, rate_per_s)
         load.cold_burst = self._cold_burst
 
+    def told_cold_left_s(self, load: BackendLoad) -> float:
+        """Return the time until a server is warm, as its own answers said."""
+        return max(0.0, load.cold_told_until_s - self._now())
+
+    def extend_told_cold(self, load: BackendLoad, left_s: float) -> bool:
+        """Apply a cold time that another host was told; return whether it is news."""
+        now_s = self._now()
+        return load.extend_told_cold(now_s + left_s, now_s)
+
     def refresh_cold(self) -> None:
         """Update all cold times, once those of the services are known."""
         for load in self.loads.values():
--- a/src/crocusward/placing/_rate_limit.py
+++ b/src/crocusward/placing/_rate_limit.py
@@ -3,6 +3,7 @@
 import math
 
 NO_LIMIT = 0.0
+NEVER_S = -1e9  # before anything is known of a limit
 BURST_S = 0.5  # seconds of the limit that may be sent at once, at least one request
 # Seconds of the limit by which requests without a permit may overdraw the bucket.
 MAX_DEBT_S = 2.0
@@ -25,12 +26,17 @@
 
     def __init__(self) -> None:
         self.per_s = NO_LIMIT
-        self.known_s = -1e9
+        self.known_s = NEVER_S
         self.is_own = False
 
     def __bool__(self) -> bool:
         return self.per_s > NO_LIMIT
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the server ever named a limit, as far as this host knows."""
+        return self.known_s > NEVER_S
+
     def observe(self, per_s: float, asked_s: float, answered_s: float) -> bool:
         """Apply an answer of the server; return whether the limit changed.
 
@@ -48,9 +54,13 @@
     def merge(self, per_s: float, known_s: float) -> bool:
         """Apply what another host knew at a time, unless this host knows later.
 
+        An end that this host saw itself stays its own, as only such ends are reported.
+
         Returns:
             Whether the limit changed.
         """
+        if per_s == self.per_s == NO_LIMIT and self.is_own:
+            return False
         return self._update(per_s, known_s, False)
 
     def _update(self, per_s: float, known_s: float, is_own: bool) -> bool:
--- a/src/crocusward/relay/_rate_limits.py
+++ b/src/crocusward/relay/_rate_limits.py
@@ -63,11 +63,13 @@
             if self.on_change is not None:
                 self.on_change(load)
 
-    def merge(self, load: BackendLoad, per_s: float, age_s: float, host: str) -> None:
-        """Apply what a neighbour knew of a server ``age_s`` seconds ago."""
+    def merge(self, load: BackendLoad, per_s: float, age_s: float, host: str) -> bool:
+        """Apply what a host knew ``age_s`` seconds ago; return whether it is news."""
         before = load.rate_limit.per_s
-        if load.rate_limit.merge(per_s, self._now() - age_s):
+        has_changed = load.rate_limit.merge(per_s, self._now() - age_s)
+        if has_changed:
             self._log_change(load, before, host, "")
+        return has_changed
 
     def _log_change(
         self, load: BackendLoad, before: float, host: str, request_id: str
--- a/src/crocusward/relay/_reserved_slot.py
+++ b/src/crocusward/relay/_reserved_slot.py
@@ -21,6 +21,9 @@
         retry_after_s: When a slot is expected, if there is none; 0.0 if unknown.
         expires_s: When it expires for a rate-limited or cold server, by the clock of
             rate limits, or None.
+        permit_per_s: Rate of the permits of which it is one, in requests per second;
+            0.0 if the host that reserved it knows no limit of the server.
+        is_own_permit: Whether the coordinator of this group issued it as a permit.
     """
 
     __slots__ = (
@@ -31,6 +34,8 @@
         "in_flight",
         "retry_after_s",
         "expires_s",
+        "permit_per_s",
+        "is_own_permit",
     )
 
     def __init__(
@@ -42,6 +47,8 @@
         in_flight: int = 0,
         retry_after_s: float = 0.0,
         expires_s: float | None = None,
+        permit_per_s: float = 0.0,
+        is_own_permit: bool = False,
     ) -> None:
         self.backend = backend
         self.address = address
@@ -50,6 +57,8 @@
         self.in_flight = in_flight
         self.retry_after_s = retry_after_s
         self.expires_s = expires_s
+        self.permit_per_s = permit_per_s
+        self.is_own_permit = is_own_permit
 
 
 class NeighbourNotifier(Protocol):
@@ -90,5 +99,8 @@
             answer came in time or no other host coordinates.
         """
 
+    def report_limit(self, load: BackendLoad, address: str) -> None:
+        """Report the limit of a server to a host that offered it without a permit."""
+
     def release(self, slot: ReservedSlot) -> None:
         """Release a slot of another group."""
--- a/src/crocusward/relay/_slot_finder.py
+++ b/src/crocusward/relay/_slot_finder.py
@@ -7,6 +7,7 @@
 from ..desired import Directory
 from ..logs import EventSampler
 from ..placing import (
+    NO_LIMIT,
     BackendLoad,
     BackendLoadTable,
     BackendSelector,
@@ -31,6 +32,8 @@
 MAX_QUIET_WAIT_S = 0.3  # for one; then a request may run beside others
 # Share of idle servers from which one is kept for a request alone.
 ALONE_IDLE_SHARE = 0.25
+WITHOUT_PERMIT = "without_permit"  # why an offered server is not used
+RATE_TOLERANCE = 0.01  # share by which the rates of two hosts may differ
 MAX_ASKED_GROUPS = 3  # per pass, before the request is queued here or there
 
 
@@ -318,7 +321,7 @@
         if slot.backend == NO_FREE_SLOT:
             return False
         load = self._load_table.loads.get(slot.backend)
-        reason = self._find_slot_fault(req, load)
+        reason = self._find_slot_fault(req, load, slot)
         if load is None or reason:
             self._sampler.log(
                 "offered_slot_unusable",
@@ -328,6 +331,8 @@
                 reason=reason,
             )
             self._notifier.release(slot)
+            if load is not None and reason == WITHOUT_PERMIT:
+                self._notifier.report_limit(load, slot.address)
             return False
         selection.load = load
         selection.granted_by = slot.address
@@ -339,8 +344,14 @@
         selection.release = lambda: self._notifier.release(slot)
         return True
 
-    def _find_slot_fault(self, req: SelectionRequest, load: BackendLoad | None) -> str:
-        """Return why an offered server may not serve a request, or ""."""
+    def _find_slot_fault(
+        self, req: SelectionRequest, load: BackendLoad | None, slot: ReservedSlot
+    ) -> str:
+        """Return why an offered server may not serve a request, or "".
+
+        A host that does not know the limit of a server, or knows a higher one, has
+        counted the offer against nothing, or against too much.
+        """
         if load is None:
             return "unknown_server"
         if load.entry.service != req.service:
@@ -349,6 +360,10 @@
             return "tried_before"
         if not self._selector.is_allowed(load, req.route, self._timer.now()):
             return "out_of_service"
+        limit_per_s = load.told_limit_per_s(self._timer.now())
+        is_within = 0.0 < slot.permit_per_s <= limit_per_s * (1.0 + RATE_TOLERANCE)
+        if limit_per_s > NO_LIMIT and not (is_within or slot.is_own_permit):
+            return WITHOUT_PERMIT
         return ""
 
     def _use_permit(
--- a/tests/entry_support.py
+++ b/tests/entry_support.py
@@ -86,6 +86,9 @@
     async def request_slot(self, place, group, shared, wait_s):
         return None
 
+    def report_limit(self, load, address):
+        pass
+
 
 class RelayOnLoopback:
     """A relay with a listener in front of scripted backend servers."""
--- a/tests/test_asks.py
+++ b/tests/test_asks.py
@@ -6,6 +6,7 @@
 
 from crocusward.desired import EntryHost
 from crocusward.entryd._slot_broker import SlotBroker
+from crocusward.entryd._unanswering_hosts import UnansweringHosts
 from crocusward.logs import EventSampler
 from crocusward.neighbours import (
     SlotOffer,
@@ -60,6 +61,8 @@
             lambda address: "",
             lambda: self.clock_s,
             first_token,
+            lambda *limit: None,
+            UnansweringHosts(timer.now),
         )
 
     def request_slot(self, broker, max_wait_s=0.0, **options):
