Tell the end of a limit to each host that owns the server

Callers saw: nothing yet; a host of the owning group went on passing over a server, or asking for permits, whose limit had ended.

Cause: only a host that saw the end of a limit reports it, so that an owner which learned the end from another group passed it on once, and an owner that lost this datagram kept the limit.

One confirmation is enough for a limit in force.

--- a/src/crocusward/entryd/_rate_limit_exchange.py
+++ b/src/crocusward/entryd/_rate_limit_exchange.py
@@ -26,21 +26,33 @@
         known_s: When this host learned the change.
         next_s: When it is reported again.
         told: Names of the hosts that were told, in order.
+        confirmed: Names of the hosts that know it. One is enough for a limit in force,
+            which it passes on; the end of a limit is told to each host.
     """
 
-    __slots__ = ("load", "known_s", "next_s", "told")
+    __slots__ = ("load", "known_s", "next_s", "told", "confirmed", "_reports")
 
     def __init__(self, load: BackendLoad, now_s: float) -> None:
         self.load = load
         self.known_s = load.rate_limit.known_s
         self.next_s = now_s
         self.told: list[str] = []
-
-    def count_report(self, host: str, now_s: float) -> None:
-        """Plan the next report."""
-        pause_s = REPEAT_PAUSES_S[min(len(self.told), len(REPEAT_PAUSES_S) - 1)]
-        self.told.append(host)
+        self.confirmed: set[str] = set()
+        self._reports = 0
+
+    def choose_recipients(
+        self, hosts: Sequence[EntryHost], rng: random.Random, now_s: float
+    ) -> list[EntryHost]:
+        """Return the hosts to tell now, and plan the next report."""
+        pause_s = REPEAT_PAUSES_S[min(self._reports, len(REPEAT_PAUSES_S) - 1)]
+        self._reports += 1
         self.next_s = now_s + pause_s
+        chosen = [host for host in hosts if host.host not in self.confirmed]
+        if self.load.rate_limit and chosen:
+            new = [host for host in chosen if host.host not in self.told]
+            chosen = [rng.choice(new or chosen)]
+        self.told += [host.host for host in chosen]
+        return chosen
 
 
 class RateLimitExchange:
@@ -159,29 +171,24 @@
             self._report([load], [self._rng.choice(hosts).address], with_cold=True)
 
     def repeat_unconfirmed(self) -> None:
-        """Report the changes again that are due, those of a group to one host."""
+        """Report the changes again that are due."""
         now_s = self._now()
-        due: dict[str, list[UnconfirmedChange]] = {}
+        by_address: dict[str, list[BackendLoad]] = {}
         for id, item in list(self.unconfirmed.items()):
             if not self._is_current(item, now_s):
                 del self.unconfirmed[id]
             elif now_s >= item.next_s:
-                due.setdefault(item.load.group, []).append(item)
-        for group, items in due.items():
-            hosts = self._list_hosts(group)
-            if not hosts:
-                continue
-            told = {name for item in items for name in item.told}
-            host = self._rng.choice([h for h in hosts if h.host not in told] or hosts)
-            for item in items:
-                item.count_report(host.host, now_s)
-                self._log(
-                    "backend_limit_reported",
-                    item.load,
-                    host=host.host,
-                    reports=len(item.told),
-                )
-            self._report([item.load for item in items], [host.address])
+                hosts = self._list_hosts(item.load.group)
+                for host in item.choose_recipients(hosts, self._rng, now_s):
+                    by_address.setdefault(host.address, []).append(item.load)
+                    self._log(
+                        "backend_limit_reported",
+                        item.load,
+                        host=host.host,
+                        reports=len(item.told),
+                    )
+        for address, loads in by_address.items():
+            self._report(loads, [address])
 
     def _is_current(self, item: UnconfirmedChange, now_s: float) -> bool:
         load = item.load
@@ -304,8 +311,15 @@
             return
         known_s = self._now() - age_s
         is_newer = known_s >= item.known_s - CONFIRM_SLACK_S
-        if is_newer and per_s == load.rate_limit.per_s:
-            del self.unconfirmed[load.entry.id]
+        if is_newer and per_s == load.rate_limit.per_s and host not in item.confirmed:
+            item.confirmed.add(host)
+            others = [
+                other
+                for other in self._list_hosts(load.group)
+                if other.host not in item.confirmed
+            ]
+            if load.rate_limit or not others:
+                del self.unconfirmed[load.entry.id]
             self._log(
                 "backend_limit_confirmed",
                 load,
