Fault soak: play stops in series, and limits that another data centre learns

Its callers keep their connections and avoid stopping daemons, and it starts every daemon again that it kills; a cut within 0.2 s counted as unread although a server ran it.

A request that a server ran counts as cut however soon.

--- a/src/crocusward/devtools/fault_soak/__main__.py
+++ b/src/crocusward/devtools/fault_soak/__main__.py
@@ -23,6 +23,7 @@
     keep: Path | None = None,
     first: str = "",
     plant: str = "",
+    loss: float = 0.0,
 ) -> int:
     """Play one run.
 
@@ -34,6 +35,7 @@
         keep: Directory for settings and logs of the daemons.
         first: Name of the first fault, drawn by default.
         plant: Name of a wrong decision that the daemons take, to test the checks.
+        loss: Share of the datagrams between daemons that are lost.
     """
     if plant:
         PLANTS.get(plant)  # an unknown name fails before anything starts
@@ -46,6 +48,7 @@
             keep=keep,
             first=first,
             plant=plant,
+            loss=loss,
         )
     )
     asked = world.promises.asked
--- a/src/crocusward/devtools/fault_soak/_callers.py
+++ b/src/crocusward/devtools/fault_soak/_callers.py
@@ -60,20 +60,27 @@
         self.sent_body: bytes | None = None
 
 
-async def ask_once(daemon: Daemon, id: str, path: str, asked: list[Asked]) -> None:
-    """Send one request with a long time limit, and record what becomes of it."""
+async def ask_once(
+    daemon: Daemon,
+    id: str,
+    path: str,
+    asked: list[Asked],
+    *,
+    limit_s: float = LONG_LIMIT_S,
+) -> None:
+    """Send one request on a connection of its own, and record what becomes of it."""
     loop = asyncio.get_running_loop()
     item = Asked(id, path, daemon.name, loop.time())
     asked.append(item)
     with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
-        async with asyncio.timeout(LONG_LIMIT_S + ANSWER_S):
+        async with asyncio.timeout(limit_s + ANSWER_S):
             place = (daemon.address, CALLER_PORT)
             reader, writer = await asyncio.open_connection(*place)
             with contextlib.closing(writer):
                 head = (
                     f"POST {path} HTTP/1.1\r\nHost: api.example\r\n"
                     f"Crocusward-Request-Id: {id}\r\nContent-Length: 1\r\n"
-                    f"Crocusward-Deadline-Ms: {LONG_LIMIT_S * 1000:.0f}\r\n\r\nx"
+                    f"Crocusward-Deadline-Ms: {limit_s * 1000:.0f}\r\n\r\nx"
                 )
                 writer.write(head.encode())
                 await read_answer(reader, item)
--- a/src/crocusward/devtools/fault_soak/_checks.py
+++ b/src/crocusward/devtools/fault_soak/_checks.py
@@ -24,6 +24,7 @@
 LIMIT_KNOWN_S = 0.5  # from an answer with a limit until the daemons know it
 HOME_PREFIX = "/home/"
 SAFE_PREFIX = "/look/"  # of the routes whose requests may run more than once
+FAR_SERVICE = "gamma"  # its servers are all in one data centre
 # Services to which the routes ever send, by the beginning of the path.
 SERVICES_OF_PATHS = {
     "/look/": {"alpha"},
@@ -32,6 +33,7 @@
     "/move/": {"alpha", "beta"},
     "/wait-alpha/": {"alpha"},
     "/wait-beta/": {"beta"},
+    f"/far-{FAR_SERVICE}/": {FAR_SERVICE},
 }
 OBJECTIVE_S = 0.4  # of all routes
 MIN_FLOOD_SAMPLE = 10  # requests beside a flood, for a median
@@ -421,7 +423,7 @@
                 if item.is_behind and item.id not in ran:
                     continue
                 in_stop = stopped_s - 1.5 < item.ended_s < stopped_s + 7.0
-                was_read = item.ended_s - item.sent_s > CUT_SLACK_S
+                was_read = item.ended_s - item.sent_s > CUT_SLACK_S or item.id in ran
                 if item.daemon != name or item.status or not in_stop or not was_read:
                     continue
                 if any(
--- a/src/crocusward/devtools/fault_soak/_daemons.py
+++ b/src/crocusward/devtools/fault_soak/_daemons.py
@@ -25,6 +25,7 @@
         disturbed_s: When it was last started, signalled or paused, in seconds.
         starts_s: When it was started, in seconds.
         kills_s: When it was killed, in seconds.
+        is_removed: Whether it is not to be started again.
     """
 
     def __init__(
@@ -38,6 +39,7 @@
         directory: Path,
         *,
         plant: str = "",
+        loss: float = 0.0,
     ) -> None:
         self.name = name
         self.address = address
@@ -46,12 +48,13 @@
         self.starts_s: list[float] = []
         self.kills_s: list[float] = []
         self.paused = False
+        self.is_removed = False
         self.stopping_s: float | None = None
         self._settings = directory / f"{name}.json"
         self._log = directory / f"{name}.log"
         self._command = [str(REPOSITORY / "deploy" / "run.py")]
-        if plant:
-            self._command = ["-m", f"{__package__}._planted", plant]
+        if plant or loss:
+            self._command = ["-m", f"{__package__}._planted", plant, f"{loss}"]
         self._is_starting = False
         self._is_killed = False
         self._process: asyncio.subprocess.Process | None = None
@@ -96,7 +99,11 @@
 
     async def start(self) -> None:
         """Start the process unless another fault has started it again already."""
-        if self._is_starting or (self.is_running and not self._is_killed):
+        if (
+            self.is_removed
+            or self._is_starting
+            or (self.is_running and not self._is_killed)
+        ):
             return
         self._is_starting = True
         if self._process is not None and self._is_killed:
@@ -191,6 +198,10 @@
         self._signal(signal.SIGTERM)
         self.stopping_s = asyncio.get_running_loop().time()
 
+    def stop_again(self) -> None:
+        """Repeat the request to stop."""
+        self._signal(signal.SIGTERM)
+
     async def wait(self, timeout_s: float) -> bool:
         """Wait for the end of the process; return whether it ended."""
         if self._process is None:
--- a/src/crocusward/devtools/fault_soak/_faults.py
+++ b/src/crocusward/devtools/fault_soak/_faults.py
@@ -62,11 +62,7 @@
     if daemon.paused or daemon.stopping_s is not None or not daemon.is_running:
         return
     world.stop_planned(daemon)
-    if not await daemon.wait(7.0):
-        world.findings.append(f"planned_stop: {daemon.name} outlasts its grace time")
-        daemon.kill()
-        await daemon.wait(2.0)
-    await daemon.start()
+    await world.wait_for_stop(daemon)
 
 
 @FAULTS.register("settings_reload")
--- a/src/crocusward/devtools/fault_soak/_planted.py
+++ b/src/crocusward/devtools/fault_soak/_planted.py
@@ -1,4 +1,4 @@
-"""Runs the entry daemon with one wrong decision, which the soak must find."""
+"""Runs the entry daemon with one wrong decision, or over a network that loses."""
 
 import signal
 
@@ -6,18 +6,26 @@
 if __name__ == "__main__":
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+import math  # noqa: E402
+import random  # noqa: E402
 import sys  # noqa: E402
-from collections.abc import Callable  # noqa: E402
+from collections.abc import Callable, Iterable, Sequence  # noqa: E402
+from typing import Any  # noqa: E402
 
 import httptools  # noqa: E402
 
-from ...entryd import _reader, main  # noqa: E402
+from ...desired import EntryHost  # noqa: E402
+from ...entryd import _reader, _stop, main  # noqa: E402
 from ...entryd._process import EntryProcess  # noqa: E402
+from ...entryd._rate_limit_exchange import UnconfirmedChange  # noqa: E402
+from ...entryd._stop import PlannedStop  # noqa: E402
+from ...entryd._unanswering_hosts import UnansweringHosts  # noqa: E402
 from ...framing import RequestParser  # noqa: E402
+from ...neighbours import Message, NeighbourEndpoint  # noqa: E402
 from ...neighbours._table import NEVER_S  # noqa: E402
 from ...platform import REQUEST_ID_HEADER  # noqa: E402
 from ...registry import Registry  # noqa: E402
-from ...relay import _exchange  # noqa: E402
+from ...relay import SlotFinder, _exchange, _slot_finder  # noqa: E402
 from ...relay._evidence import Evidence  # noqa: E402
 from ...relay._messages import Headers  # noqa: E402
 from ...upstream import CUT, AnswerMatch, ConnectionHistory, _connection  # noqa: E402
@@ -97,6 +105,49 @@
     _replace(HttpConnection, "_skip_interim_answer", skip)
 
 
+@PLANTS.register("end-at-quiet-moment")
+def end_at_quiet_moment() -> None:
+    """End a planned stop at the first moment without a connection."""
+
+    async def run(stop: PlannedStop) -> None:
+        schedule, listener = stop._schedule, stop._listener
+        await stop._timer.sleep(schedule.notice_end_s - stop._timer.now())
+        while listener.connections and stop._timer.now() < schedule.end_s:
+            listener.drain()
+            if stop._timer.now() >= schedule.intake_end_s:
+                listener.close_idle()
+            await stop._timer.sleep(_stop.STOP_POLL_S)
+        await stop._end_last_requests()
+
+    _replace(PlannedStop, "run", run)
+
+
+@PLANTS.register("tell-limits-once")
+def tell_limits_once() -> None:
+    """Tell a limit to one random host, and take each offer for a permit."""
+    choose = UnconfirmedChange.choose_recipients
+
+    def choose_once(
+        item: UnconfirmedChange,
+        hosts: Sequence[EntryHost],
+        rng: random.Random,
+        now_s: float,
+    ) -> list[EntryHost]:
+        chosen = choose(item, hosts, rng, now_s)[:1]
+        item.next_s = math.inf
+        return chosen
+
+    find = SlotFinder._find_slot_fault
+
+    def find_other_fault(finder: SlotFinder, *offer: Any) -> str:
+        found = find(finder, *offer)
+        return "" if found == _slot_finder.WITHOUT_PERMIT else found
+
+    _replace(UnconfirmedChange, "choose_recipients", choose_once)
+    _replace(UnansweringHosts, "prefer", lambda silent, hosts: list(hosts))
+    _replace(SlotFinder, "_find_slot_fault", find_other_fault)
+
+
 def _replace(owner: type, name: str, method: Callable[..., object]) -> None:
     setattr(owner, name, method)
 
@@ -107,6 +158,22 @@
     type.__setattr__(Evidence, "proves_not_run", is_proof)
 
 
+def lose_datagrams(share: float) -> None:
+    """Lose a share of the datagrams that the daemon sends, at random."""
+    send = NeighbourEndpoint.send
+
+    def send_some(
+        endpoint: NeighbourEndpoint, message: Message, addresses: Iterable[str]
+    ) -> None:
+        send(endpoint, message, [a for a in addresses if random.random() >= share])
+
+    _replace(NeighbourEndpoint, "send", send_some)
+
+
 if __name__ == "__main__":
-    PLANTS.get(sys.argv[1])()
+    name, loss = sys.argv[1:3]
+    if name:
+        PLANTS.get(name)()
+    if float(loss):
+        lose_datagrams(float(loss))
     sys.exit(main())
--- a/src/crocusward/devtools/fault_soak/_targets.py
+++ b/src/crocusward/devtools/fault_soak/_targets.py
@@ -94,6 +94,7 @@
             "flood", or in one of the ways of ``DOUBTFUL_MODES``.
         share: Share of the requests on which it does.
         limits: Values of the rate limit that it names in each answer, not all valid.
+        reports_load: Whether its answers tell its load.
         is_leaving: Whether it says in each answer that it leaves.
         pause_s: Retry-After of its refusals, 0.0 without one.
         repeated: What it refuses twice: "", "probe" or "request". The copy comes
@@ -130,6 +131,7 @@
         self.mode = ""
         self.share = 1.0
         self.limits: list[str] = []
+        self.reports_load = True
         self.is_leaving = False
         self.pause_s = 0.0
         self.repeated = ""
@@ -265,6 +267,8 @@
         return self._refusal(status, "" if is_marked else id, is_marked=is_marked)
 
     def _load_line(self, running: int) -> bytes:
+        if not self.reports_load:
+            return b""
         slowdown = SLOWDOWNS_PERCENT[0]
         if self.repeated:
             slowdown = self._rng.choice(SLOWDOWNS_PERCENT)
--- a/src/crocusward/devtools/fault_soak/_world.py
+++ b/src/crocusward/devtools/fault_soak/_world.py
@@ -12,11 +12,12 @@
 
 from ..standins import RowsStandin
 from ..standins._store import FaultMode
+from . import _group_faults, _sequence_faults  # noqa: F401, I001  register faults
 from ._callers import Asked, Caller, ask_once
-from ._checks import LimitSpan, Promises, Span
+from ._checks import FAR_SERVICE, LimitSpan, Promises, Span
 from ._daemons import MEMORY_MB, Daemon, unix_ms
+from ._faults import FAULTS
 from ._proxy import FaultProxy
-from ._sequence_faults import FAULTS
 from ._slow_callers import PATH, SlowCaller
 from ._targets import Target
 
@@ -56,6 +57,7 @@
         callers: Number of callers.
         directory: Where settings and logs are kept.
         plant: Name of a wrong decision that the daemons take, "" for none.
+        loss: Share of the datagrams between daemons that are lost.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         directory: Path,
         *,
         plant: str = "",
+        loss: float = 0.0,
     ) -> None:
         self.rng = random.Random(seed)
         self.findings: list[str] = []
@@ -86,6 +89,7 @@
         self._directory = directory
         self._seed = seed
         self._plant = plant
+        self._loss = loss
         self._version = 0
         self._number = 0
         self._move_service = "alpha"
@@ -149,6 +153,7 @@
                     addresses[:3],
                     self._directory,
                     plant=self._plant,
+                    loss=self._loss,
                 )
             )
 
@@ -255,6 +260,35 @@
         self.disturb(daemon, 7.0)
         daemon.stop()
 
+    async def wait_for_stop(self, daemon: Daemon) -> None:
+        """Wait for the end of a planned stop, and start the daemon again."""
+        if not await daemon.wait(7.0):
+            self.findings.append(f"planned_stop: {daemon.name} outlasts its grace time")
+            daemon.kill()
+            await daemon.wait(2.0)
+        await daemon.start()
+
+    # Losses of daemons.
+
+    def remove_daemon(self, daemon: Daemon) -> None:
+        """End a daemon for good, as far as other faults are concerned."""
+        daemon.is_removed = True
+        daemon.kill()
+
+    async def return_daemon(self, daemon: Daemon) -> None:
+        """Start a removed daemon, for faults to come."""
+        daemon.is_removed = False
+        await daemon.wait(2.0)
+        await daemon.start()
+        self.disturb(daemon, 1.0)
+
+    async def restart_daemon(self, daemon: Daemon) -> None:
+        """End a daemon and start it again at once."""
+        daemon.kill()
+        await daemon.wait(2.0)
+        await daemon.start()
+        self.disturb(daemon, 1.0)
+
     # Backend servers.
 
     async def add_target(
@@ -368,6 +402,14 @@
         loop = asyncio.get_running_loop()
         loop.call_later(SERVES_ON_S, target.listener.shut)
 
+    async def drop_target(self, target: Target) -> None:
+        """Remove a server in order, unless another fault has removed it."""
+        if target in self.targets:
+            self.targets.remove(target)
+            self._put("servers", target.id, None)
+            self.promises.leaving[target.id] = self.now_s()
+            asyncio.get_running_loop().call_later(SERVES_ON_S, target.listener.shut)
+
     async def reuse_address(self, target: Target) -> None:
         """End a server without notice and give its address to another service."""
         if target not in self.targets:
@@ -378,7 +420,7 @@
             target.listener.shut()
             proxy.reset()
             await self.sleep(2.0)
-            other = SERVICES[1 - SERVICES.index(target.service)]
+            other = next(name for name in SERVICES if name != target.service)
             await self.add_target(other, target.data_centre, proxy)
             await self.add_target(target.service, target.data_centre)
             await self.sleep(1.0)
@@ -440,6 +482,8 @@
             name = f"wait-{service}"
             row = [name, "api.example", f"/{name}/", "unsafe", "5s", "400ms", 1]
             rows.append([*row, service, 2, []])
+        row = ["far", "api.example", f"/far-{FAR_SERVICE}/", "unsafe", "1500ms"]
+        rows.append([*row, "400ms", 1, FAR_SERVICE, 2, []])
         rows[1] += [2, []]
         rows[2] += [2, ["east"]]
         rows[3] += [self._move_service, 2, []]
@@ -450,7 +494,10 @@
             "routes": {"columns": [*columns.split(), "allowedRegions"], "rows": rows},
             "services": {
                 "columns": ["name", "healthPath", "maxConns", "warmup", "warmupPerS"],
-                "rows": [[name, "/health", 200, "3s", 5.0] for name in SERVICES],
+                "rows": [
+                    [name, "/health", 200, "3s", 5.0]
+                    for name in (*SERVICES, FAR_SERVICE)
+                ],
             },
             "limits": {
                 "maxHeaderBytes": 16384,
@@ -522,6 +569,7 @@
     keep: Path | None,
     first: str = "",
     plant: str = "",
+    loss: float = 0.0,
 ) -> World:
     """Play one run and return it."""
     with contextlib.ExitStack() as stack:
@@ -530,7 +578,7 @@
         else:
             path = keep
             path.mkdir(parents=True, exist_ok=True)
-        world = World(seed, daemons, callers, path, plant=plant)
+        world = World(seed, daemons, callers, path, plant=plant, loss=loss)
         try:
             await world.start()
             await world.play(duration_s, first)
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -35,6 +35,8 @@
     "drop-lost-orders": ("late_operators", 23, "evacuation"),
     "remember-outages": ("readers_after_outage", 24, "leaving"),
     "skip-low-statuses": ("odd_statuses", 25, "own_answer"),
+    "end-at-quiet-moment": ("stops_in_series", 40, "planned_stop"),
+    "tell-limits-once": ("foreign_limits", 42, "limit"),
 }
 RESTART_SEEDS = {
     10: "awaited_slots",
@@ -257,6 +259,14 @@
         self.promises.runs = [run(path="/look/long", at_s=11.1)]
         self.assert_broken("planned_stop")
 
+    def test_quick_cut_of_a_request_that_a_server_ran(self):
+        item = asked(status=0, sent_s=12.7, ended_s=12.73)
+        self.promises.asked = [item]
+        self.promises.stops = [("h1", 10.0)]
+        self.assertEqual(self.promises.broken(), [])
+        self.promises.runs = [run(at_s=12.71)]
+        self.assert_broken("planned_stop")
+
     def test_cut_by_a_planned_stop(self):
         self.promises.asked = [asked(status=0, sent_s=11.0, ended_s=11.5)]
         self.promises.stops = [("h1", 10.0)]
