Notice that a caller has left while its connection is not read

Cause: reading pauses at that depth, and a paused transport reports neither the end of the input nor a reset.

Change: the TCP state of such connections is asked every 0.1 s; a caller that has closed its side ends its requests as when the end of the input is read.

--- a/src/crocusward/lingering/__init__.py
+++ b/src/crocusward/lingering/__init__.py
@@ -1,5 +1,17 @@
 """Orderly closes of connections that may still have input on its way."""
 
-from ._close import QUIET_S, LingerEnd, LingeringClose
+from ._close import (
+    PEER_CHECK_PERIOD_S,
+    QUIET_S,
+    LingerEnd,
+    LingeringClose,
+    has_peer_closed,
+)
 
-__all__ = ["QUIET_S", "LingerEnd", "LingeringClose"]
+__all__ = [
+    "PEER_CHECK_PERIOD_S",
+    "QUIET_S",
+    "LingerEnd",
+    "LingeringClose",
+    "has_peer_closed",
+]
--- a/src/crocusward/lingering/_close.py
+++ b/src/crocusward/lingering/_close.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import fcntl
+import socket
 import struct
 import termios
 from enum import StrEnum
@@ -14,6 +15,10 @@
 STALL_S = 3.0  # without progress, while bytes are unsent
 MAX_LINGER_S = 60.0  # for a peer that takes an answer slowly
 MAX_DROPPED_BYTES = 16 << 20  # above it, input stays unread
+PEER_CHECK_PERIOD_S = 0.1  # of connections that are not read at present
+# States of a TCP connection whose peer has not closed its side (Linux, tcp_states.h).
+_TCP_ESTABLISHED, _TCP_FIN_WAIT1, _TCP_FIN_WAIT2 = 1, 4, 5
+_OPEN_STATES = frozenset({_TCP_ESTABLISHED, _TCP_FIN_WAIT1, _TCP_FIN_WAIT2})
 
 
 class LingerEnd(StrEnum):
@@ -39,6 +44,21 @@
     return unsent + struct.unpack("i", queued)[0]
 
 
+def has_peer_closed(transport: asyncio.Transport) -> bool:
+    """Return whether the peer has closed its side, also if input is not read.
+
+    A transport whose reads are paused reports neither the end of the input nor a reset.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return False
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    except OSError:  # not a TCP socket of the kernel
+        return False
+    return info[0] not in _OPEN_STATES
+
+
 class LingeringClose:
     """Closes the write side of a connection at once and limits the rest of the close.
 
--- a/src/crocusward/relay/_caller.py
+++ b/src/crocusward/relay/_caller.py
@@ -10,7 +10,7 @@
 from ..accepting import ACCEPT_TIME_S
 from ..desired import CallerLimits
 from ..framing import RequestParser
-from ..lingering import LingerEnd, LingeringClose
+from ..lingering import LingerEnd, LingeringClose, has_peer_closed
 from ..platform import REQUEST_ID_HEADER
 from ..upstream import AnswerMemoryBudget, PacedReads, ReadPacer
 from ._messages import CallerAnswer, CallerRequest, Headers, make_refusal
@@ -264,11 +264,25 @@
         ):
             self._reject(make_refusal(400, "too much chunk framing", close=True))
 
+    @property
+    def has_unread_pipeline(self) -> bool:
+        """Whether reading waits until earlier requests are answered."""
+        return len(self._pending) > MAX_PIPELINED_REQUESTS
+
+    def check_peer(self) -> None:
+        """End the requests of a caller that has left, although nothing is read."""
+        transport = self._transport
+        if transport is None or self._linger is not None:
+            return
+        if not transport.is_closing() and has_peer_closed(transport):
+            self.eof_received()
+            transport.close()
+
     def _resume_reading(self) -> None:
         """Resume reading unless it is paused for another reason."""
         if self._transport is None or self._reads.is_paused:
             return
-        if len(self._pending) <= MAX_PIPELINED_REQUESTS:
+        if not self.has_unread_pipeline:
             self._transport.resume_reading()
 
     def resume_writing(self) -> None:
@@ -340,7 +354,7 @@
         item = PendingRequest(req, self._parser.should_keep_alive())
         self._current = item
         self._pending.append(item)
-        if len(self._pending) > MAX_PIPELINED_REQUESTS and self._transport is not None:
+        if self.has_unread_pipeline and self._transport is not None:
             self._transport.pause_reading()
         length = find_header(req.headers, b"content-length")
         if length is not None and int(length) > self._handler.limits.body_bytes:
--- a/src/crocusward/relay/_listener.py
+++ b/src/crocusward/relay/_listener.py
@@ -4,7 +4,7 @@
 import socket
 
 from ..accepting import end_accepting
-from ..lingering import LingerEnd
+from ..lingering import PEER_CHECK_PERIOD_S, LingerEnd
 from ..logs import EventSampler, Level
 from ..timing import Subscription, TimerService
 from ..upstream import ReadPacer
@@ -46,7 +46,7 @@
         "_timer",
         "_buffer",
         "_server",
-        "_timeout_check",
+        "_checks",
         "_opening",
     )
 
@@ -68,7 +68,7 @@
         self._timer = timer
         self._buffer = memoryview(bytearray(READ_BUFFER_BYTES))
         self._server: asyncio.Server | None = None
-        self._timeout_check: Subscription | None = None
+        self._checks: list[Subscription] = []
 
     async def start(self, address: str, port: int) -> None:
         """Bind the address and start to accept connections.
@@ -84,9 +84,10 @@
             backlog=MAX_LISTEN_BACKLOG,
             reuse_address=True,
         )
-        self._timeout_check = self._timer.every(
-            TIMEOUT_CHECK_PERIOD_S, self._check_timeouts
-        )
+        self._checks = [
+            self._timer.every(TIMEOUT_CHECK_PERIOD_S, self._check_timeouts),
+            self._timer.every(PEER_CHECK_PERIOD_S, self._check_peers),
+        ]
 
     def _make_connection(self) -> CallerConnection:
         return CallerConnection(
@@ -136,6 +137,10 @@
         for conn in list(self.connections):
             conn.check_timeouts(now_s)
 
+    def _check_peers(self) -> None:
+        for conn in [c for c in self.connections if c.has_unread_pipeline]:
+            conn.check_peer()
+
     @property
     def port(self) -> int:
         """Port that is listened on, or 0 before the start."""
@@ -196,8 +201,8 @@
         if self._server is not None:
             self._server.close()
             self._server = None
-        if self._timeout_check is not None:
-            self._timeout_check.cancel()
+        for check in self._checks:
+            check.cancel()
         for task in self._opening:
             task.cancel()
         for conn in list(self.connections):
