Fault soak: leave requests of departed callers and of frozen daemons out

Traces: u214 and others are requests of OfferingCaller whose task its fault had cancelled, so that the caller left; q235 was sent to a daemon that stood still from 01:12:28.175 to 01:12:30.759, and its caller gave up after 2.5 s.

Change: requests whose caller left before an answer have no end; those that meet a freeze of their daemon from STABLE_S before on are left out, by the times of that daemon alone. Requests behind a broken connection now have an end, and count if a server ran them. The summary names the faults that were played.

--- a/src/crocusward/devtools/fault_soak/__main__.py
+++ b/src/crocusward/devtools/fault_soak/__main__.py
@@ -63,6 +63,7 @@
                 "served": served,
                 "runs": len(world.promises.runs),
                 "faults": len(world.played),
+                "played": world.played,
                 "odd_answers": world.odd_answers,
                 "limits": len(world.promises.limits),
                 "broken": len(world.findings),
--- a/src/crocusward/devtools/fault_soak/_callers.py
+++ b/src/crocusward/devtools/fault_soak/_callers.py
@@ -23,7 +23,8 @@
         path: Its path.
         daemon: Name of the daemon.
         sent_s: When it was sent, in seconds of the loop.
-        ended_s: When the answer or the end of the connection came.
+        ended_s: When the answer or the end of the connection came; ``sent_s`` if the
+            caller left before.
         status: Status of the answer, 0 if none came.
         body: Body of the answer.
         digest: Digest of the answer.
@@ -173,10 +174,11 @@
             writer.write(head.encode() + body)
             async with asyncio.timeout(ANSWER_S):
                 keep = await read_answer(reader, item)
+            item.ended_s = loop.time()
         except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
             item.status = 0
-        finally:
             item.ended_s = loop.time()
+        finally:
             if not keep:
                 writer.transport.abort()
                 self._streams = None
--- a/src/crocusward/devtools/fault_soak/_checks.py
+++ b/src/crocusward/devtools/fault_soak/_checks.py
@@ -106,6 +106,7 @@
         starts_s: When each daemon of a data centre was started.
         lifetimes_s: When a daemon was started, by its name.
         kills_s: When a daemon was killed, by its name.
+        pauses_s: Begin and end of the times in which a daemon was frozen, by its name.
         addresses: IP addresses of the daemons, by name.
         cold: Cold times of servers, by id.
         notices: What servers told each daemon.
@@ -129,6 +130,7 @@
         self.starts_s: dict[str, list[list[float]]] = {}
         self.lifetimes_s: dict[str, list[float]] = {}
         self.kills_s: dict[str, list[float]] = {}
+        self.pauses_s: dict[str, list[tuple[float, float]]] = {}
         self.addresses: dict[str, str] = {}
         self.cold: dict[str, Span] = {}
         self.notices = Notices()
@@ -422,6 +424,13 @@
             for item in self.asked:
                 if item.is_behind and item.id not in ran:
                     continue
+                if item.ended_s <= item.sent_s:
+                    continue  # its caller left
+                if any(
+                    begin_s < item.ended_s and item.sent_s - STABLE_S < end_s
+                    for begin_s, end_s in self.pauses_s.get(name, ())
+                ):
+                    continue  # the daemon was frozen before or meanwhile
                 in_stop = stopped_s - 1.5 < item.ended_s < stopped_s + 7.0
                 was_read = item.ended_s - item.sent_s > CUT_SLACK_S or item.id in ran
                 if item.daemon != name or item.status or not in_stop or not was_read:
--- a/src/crocusward/devtools/fault_soak/_daemons.py
+++ b/src/crocusward/devtools/fault_soak/_daemons.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 import os
 import re
 import signal
@@ -25,6 +26,7 @@
         disturbed_s: When it was last started, signalled or paused, in seconds.
         starts_s: When it was started, in seconds.
         kills_s: When it was killed, in seconds.
+        pauses_s: Begin and end of the times in which it was frozen, in seconds.
         is_removed: Whether it is not to be started again.
     """
 
@@ -47,6 +49,7 @@
         self.disturbed_s = 0.0
         self.starts_s: list[float] = []
         self.kills_s: list[float] = []
+        self.pauses_s: list[tuple[float, float]] = []
         self.paused = False
         self.is_removed = False
         self.stopping_s: float | None = None
@@ -164,10 +167,14 @@
         """Freeze the process."""
         self._signal(signal.SIGSTOP)
         self.paused = True
+        self.pauses_s.append((asyncio.get_running_loop().time(), math.inf))
 
     def resume(self) -> None:
         """Let a frozen process go on."""
         self._signal(signal.SIGCONT)
+        if self.paused:
+            begin_s, _ = self.pauses_s.pop()
+            self.pauses_s.append((begin_s, asyncio.get_running_loop().time()))
         self.paused = False
 
     def reload(self) -> None:
--- a/src/crocusward/devtools/fault_soak/_offering_callers.py
+++ b/src/crocusward/devtools/fault_soak/_offering_callers.py
@@ -83,6 +83,8 @@
                 item.status = 0
             item.ended_s = loop.time()
             if not keep:
+                for other in items:
+                    other.ended_s = max(other.ended_s, item.ended_s)
                 return False
         return True
 
--- a/src/crocusward/devtools/fault_soak/_slow_callers.py
+++ b/src/crocusward/devtools/fault_soak/_slow_callers.py
@@ -60,11 +60,10 @@
             while not (self._must_stop and not self._waiting):
                 await self._read_answer(reader)
         except (OSError, ValueError, asyncio.IncompleteReadError):
-            pass
-        finally:
-            sending.cancel()
             for item in self._waiting:
                 item.ended_s = loop.time()
+        finally:
+            sending.cancel()
             self._waiting.clear()
             writer.transport.abort()
 
--- a/src/crocusward/devtools/fault_soak/_world.py
+++ b/src/crocusward/devtools/fault_soak/_world.py
@@ -589,6 +589,7 @@
             starts_s.append(daemon.starts_s)
             world.promises.lifetimes_s[daemon.name] = daemon.starts_s
             world.promises.kills_s[daemon.name] = daemon.kills_s
+            world.promises.pauses_s[daemon.name] = daemon.pauses_s
             world.promises.addresses[daemon.name] = daemon.address
         world.findings += world.promises.broken()
         return world
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -275,6 +275,15 @@
             self.assert_broken("planned_stop")
         self.promises.kills_s = {"h1": [11.49]}  # by another fault
         self.assertEqual(self.promises.broken(), [])
+        self.promises.kills_s = {}
+        self.promises.pauses_s = {"h1": [(1.0, 7.9), (11.6, 12.0)], "h2": [(9.0, 12.0)]}
+        self.assert_broken("planned_stop")
+        self.promises.pauses_s = {"h1": [(7.0, 8.1)]}
+        self.assertEqual(self.promises.broken(), [])
+        self.promises.pauses_s = {}
+        self.promises.asked[0].ended_s = self.promises.asked[0].sent_s
+        self.promises.runs = [run(at_s=11.0)]
+        self.assertEqual(self.promises.broken(), [])  # the caller left
 
 
 class NetworkTest(unittest.TestCase):
