Follow the store to the address that changed settings name

Cause: the client of the store kept the address of the start, and the timing of reads its bound, while settings_reloaded said that all was taken over.

Evidence: tests.test_reloaded_settings on the code before: all four hosts lack the version that was written after the old address ended.

Change: both are set at each reload; the log names what needs a restart.

--- a/src/crocusward/desired/_types.py
+++ b/src/crocusward/desired/_types.py
@@ -77,6 +77,11 @@
         self.cold_rate_factor = cold_rate_factor
         self.cold_burst = cold_burst
 
+    @property
+    def change_s(self) -> float:
+        """Time limit for any change in the store to be in force."""
+        return min(self.config_apply_s, self.drain_s)
+
 
 class HostFacts(Record):
     """Host of a daemon as described by the platform's settings.
--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -65,6 +65,19 @@
 
 TICK_PERIOD_S = 0.1
 SETTINGS_CHECK_PERIOD_S = 1.0  # detects changes of the file without a signal
+# What a running daemon does not take over when its settings change.
+SETTINGS_OF_A_START = (
+    "name",
+    "address",
+    "data_centre",
+    "region",
+    "regions",
+    "callers",
+    "ready",
+    "control",
+    "peer_ports",
+    "limits",
+)
 REGISTER_PAUSE_S = 1.0
 REGISTER_SPREAD_S = 2.0  # over which all hosts register again at a restored store
 MAX_BACKEND_CONNECTIONS = 16  # per server, each of which runs few requests at a time
@@ -125,8 +138,7 @@
             self.timer.now,
             lambda: time.time() * 1000.0,
         )
-        bound_s = min(facts.bounds.config_apply_s, facts.bounds.drain_s)
-        self._read_times = ReadTimes(bound_s)
+        self._read_times = ReadTimes(facts.bounds.change_s)
         self.neighbours = NeighbourTable(facts.name, self._read_times)
         self.other_readers = NeighbourTable(facts.name, self._read_times)
         self.store_pool = HttpPool(self.timer, connections=MAX_STORE_CONNECTIONS)
@@ -513,8 +525,11 @@
             return
         if facts == self._last_read_facts and cause != "signal":
             return
+        before = self.facts
         self._last_read_facts = facts
         self.facts = facts
+        self.store.address = facts.store
+        self._read_times.set_bound(facts.bounds.change_s)
         self.load_table.set_cold_bounds(
             facts.bounds.cold_rate_factor, facts.bounds.cold_burst
         )
@@ -523,7 +538,17 @@
             facts.bounds.retry_reserve,
             facts.bounds.retry_window_s,
         )
-        log_event("settings_reloaded", cause=cause)
+        needs_restart = [
+            name
+            for name in SETTINGS_OF_A_START
+            if getattr(facts, name) != getattr(before, name)
+        ]
+        log_event(
+            "settings_reloaded",
+            cause=cause,
+            store=":".join(map(str, facts.store)),
+            needs_restart=",".join(needs_restart),
+        )
 
     # Stop.
 
--- a/src/crocusward/neighbours/_times.py
+++ b/src/crocusward/neighbours/_times.py
@@ -29,6 +29,10 @@
     __slots__ = ("long_poll_s", "answer_margin_s", "batch_pause_s", "takeover_age_s")
 
     def __init__(self, bound_s: float) -> None:
+        self.set_bound(bound_s)
+
+    def set_bound(self, bound_s: float) -> None:
+        """Set the time within which a change must be in force."""
         self.long_poll_s = LONG_POLL_SHARE * bound_s
         self.answer_margin_s = ANSWER_MARGIN_SHARE * bound_s
         self.batch_pause_s = BATCH_PAUSE_SHARE * bound_s
--- a/src/crocusward/platform/_rows.py
+++ b/src/crocusward/platform/_rows.py
@@ -42,15 +42,16 @@
         address: IP address and port of the store.
 
     Attributes:
+        address: IP address and port of the store, for the next requests.
         call_count: Requests sent so far.
         era: Latest era that an answer of the store has named.
     """
 
-    __slots__ = ("_client", "_address", "call_count", "era")
+    __slots__ = ("address", "call_count", "era", "_client")
 
     def __init__(self, client: HttpClient, address: tuple[str, int]) -> None:
         self._client = client
-        self._address = address
+        self.address = address
         self.call_count = 0
         self.era = NO_ERA
 
@@ -206,7 +207,7 @@
         self, method: str, path: str, body: bytes, timeout_s: float
     ) -> HttpAnswer:
         self.call_count += 1
-        address, port = self._address
+        address, port = self.address
         return await self._client.request(
             address,
             port,
