--- a/src/crocusward/entryd/_process.py
+++ b/src/crocusward/entryd/_process.py
@@ -119,6 +119,7 @@
     ) -> None:
         loop = asyncio.get_running_loop()
         self.facts = facts
+        self._start_facts = facts
         self._last_read_facts = facts
         self._path = path
         self._logs = logs
@@ -525,7 +526,6 @@
             return
         if facts == self._last_read_facts and cause != "signal":
             return
-        before = self.facts
         self._last_read_facts = facts
         self.facts = facts
         self.store.address = facts.store
@@ -541,7 +541,7 @@
         needs_restart = [
             name
             for name in SETTINGS_OF_A_START
-            if getattr(facts, name) != getattr(before, name)
+            if getattr(facts, name) != getattr(self._start_facts, name)
         ]
         log_event(
             "settings_reloaded",
--- a/tests/test_reloaded_settings.py
+++ b/tests/test_reloaded_settings.py
@@ -54,11 +54,14 @@
         stream = io.StringIO()
         pipe = start_logs(stream)
         host = next(iter(self.fleet.hosts.values()))
-        self.reload(host, callers=("10.0.0.9", 1))
+        for _ in range(2):
+            self.reload(host, callers=("10.0.0.9", 1))
         pipe.buffer.flush()
         pipe.close()
-        line = next(x for x in stream.getvalue().splitlines() if "reloaded" in x)
-        self.assertIn("needs_restart=callers", line)
+        lines = [x for x in stream.getvalue().splitlines() if "reloaded" in x]
+        self.assertEqual(len(lines), 2)
+        for line in lines:
+            self.assertIn("needs_restart=callers", line)
 
 
 if __name__ == "__main__":
