Keep a large request body once in memory

Cause: a body stood up to four times in memory, twice for each attempt, and an idle connection kept its last request; the budget counts it once, until the answer.

Change: a body above 64 KiB is kept as it was read, and written in pieces as the transport takes them; a connection forgets how to match answers at the end of its exchange.

--- a/src/crocusward/crashes/_identity.py
+++ b/src/crocusward/crashes/_identity.py
@@ -24,7 +24,7 @@
     host: str,
     target: str,
     headers: Iterable[tuple[bytes, bytes]],
-    body: bytes,
+    body: bytes | bytearray,
 ) -> bytes:
     """Return the digest of a request, which begins with its target digest.
 
@@ -49,7 +49,7 @@
     host: str,
     target: str,
     headers: Iterable[tuple[bytes, bytes]],
-    body: bytes,
+    body: bytes | bytearray,
 ) -> tuple[bytes, ...]:
     """Return the digest of a request, and that without its caller if it names one.
 
--- a/src/crocusward/relay/_caller.py
+++ b/src/crocusward/relay/_caller.py
@@ -23,6 +23,7 @@
 CHUNK_OVERHEAD_BYTES = 65_536
 CHUNK_OVERHEAD_FACTOR = 8
 READ_BUFFER_BYTES = 65_536
+MAX_COPIED_BODY_BYTES = 65_536
 
 
 class RequestHandler(Protocol):
@@ -388,7 +389,9 @@
             return
         item.is_complete = True
         self._has_last_request = not item.keep_alive
-        item.req.body = bytes(item.body)
+        # A large body is kept as it was read, without a copy; nothing changes it.
+        is_large = len(item.body) > MAX_COPIED_BODY_BYTES
+        item.req.body = item.body if is_large else bytes(item.body)
         item.body = bytearray()
         self._start_runnable()
 
--- a/src/crocusward/relay/_messages.py
+++ b/src/crocusward/relay/_messages.py
@@ -55,7 +55,7 @@
         self.target = target
         self.host = host
         self.headers = headers
-        self.body = b""
+        self.body: bytes | bytearray = b""
         self.id = id
         self.received_s = received_s
         self.time_left_s = time_left_s
--- a/src/crocusward/upstream/_connection.py
+++ b/src/crocusward/upstream/_connection.py
@@ -16,6 +16,9 @@
 from ._read_pacer import PacedReads, ReadPacer
 
 MAX_HEAD_BYTES = 65_536  # also limits trailers and chunk extensions
+MAX_JOINED_BODY_BYTES = 65_536  # of a request body that is written with its head
+BODY_PIECE_BYTES = 262_144
+MAX_BODY_PIECES = 4  # in one iteration of the loop
 MAX_HEADER_LINES = 256  # of one answer, with interim answers and trailers
 MAX_SKIPPED_ANSWERS = 8  # mismatched answers in one exchange
 FRAMING_FACTOR = 8  # framing bytes for each body byte, in chunks of one byte
@@ -174,6 +177,8 @@
         "_skips_left",
         "_allow_close_delimited",
         "_is_close_delimited",
+        "_unsent_body",
+        "_is_writing_paused",
     )
 
     def __init__(
@@ -194,6 +199,8 @@
         self.recent_id_hashes: list[int] = []
         self.skipped_answers = 0
         self.on_closed: Callable[[HttpConnection], object] | None = None
+        self._unsent_body: memoryview | None = None
+        self._is_writing_paused = False
         self._timer = timer
         self._loop = asyncio.get_running_loop()
         self._sock = sock
@@ -255,7 +262,8 @@
 
     async def exchange(
         self,
-        data: bytes,
+        head: bytes,
+        body: bytes | bytearray,
         *,
         is_head_request: bool,
         timeout_s: float,
@@ -266,7 +274,8 @@
         """Write one request and wait for its complete answer.
 
         Args:
-            data: Encoded request.
+            head: Encoded head of the request.
+            body: Its body. A large one is written in pieces, and not copied as a whole.
             is_head_request: Whether the method is HEAD, so that the answer has no body
                 whatever its headers say.
             timeout_s: Time limit, in seconds.
@@ -296,13 +305,30 @@
         self._reads.start_message()
         self._set_deadline(timeout_s)
         try:
-            transport.write(data)
+            if len(body) <= MAX_JOINED_BODY_BYTES:
+                transport.write(head + body if body else head)
+            else:
+                transport.write(head)
+                self._unsent_body = memoryview(body)
+                self._write_body()
             return await answer
         finally:
             self._pending_answer = None
+            self._matches = None  # which may hold the request and its body
             if self._memory_budget is not None:
                 self._memory_budget.release(id(self))
 
+    def _write_body(self) -> None:
+        """Write what the transport takes of a large body, and go on later."""
+        transport = self._transport
+        for _ in range(MAX_BODY_PIECES):
+            body = self._unsent_body
+            if body is None or self._is_writing_paused or transport is None:
+                return
+            self._unsent_body = body[BODY_PIECE_BYTES:] or None
+            transport.write(body[:BODY_PIECE_BYTES])
+        self._loop.call_soon(self._write_body)
+
     def note_answered(self, id_hash: int, status: int) -> None:
         """Remember that a request got an answer with a status here."""
         if status >= MIN_ERROR_STATUS:
@@ -324,6 +350,7 @@
             and self._keep_alive
             and len(self.failed_id_hashes) < MAX_FAILED_IDS
             and transport is not None
+            and self._unsent_body is None
             and transport.get_write_buffer_size() == 0
         )
 
@@ -343,6 +370,15 @@
         """Return the shared read buffer, or a part of it."""
         return self._reads.limit_read(self._buffer)
 
+    def pause_writing(self) -> None:
+        """Stop writing a large body: the transport holds enough of it."""
+        self._is_writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Go on with a large body."""
+        self._is_writing_paused = False
+        self._write_body()
+
     def _resume_reading(self) -> None:
         if self._transport is not None and not self.is_closed:
             self._transport.resume_reading()
@@ -552,6 +588,7 @@
         if self.is_closed:
             return
         self.is_closed = True
+        self._unsent_body = None
         self._body = b""
         self._reads.close()
         if self._timeout is not None:
--- a/src/crocusward/upstream/_encode.py
+++ b/src/crocusward/upstream/_encode.py
@@ -23,14 +23,14 @@
 _checked_names: set[bytes] = set()
 
 
-def encode_request(
+def encode_head(
     method: str,
     path: str,
     host: bytes,
     headers: Sequence[tuple[bytes, bytes]],
-    body: bytes,
+    body_size: int,
 ) -> bytes:
-    """Return the encoded request.
+    """Return the encoded head of a request with a body of some bytes.
 
     Raises:
         NotSentError: With code ``invalid_request`` if a part would break the framing.
@@ -41,15 +41,15 @@
         if name not in _checked_names:
             _check_name(name)
         parts += (name, b": ", value, b"\r\n")
-    if body or method in METHODS_WITH_LENGTH:
-        parts.append(b"content-length: %d\r\n" % len(body))
+    if body_size or method in METHODS_WITH_LENGTH:
+        parts.append(b"content-length: %d\r\n" % body_size)
         line_count = len(headers) + 4  # request line, Host, length, empty line
     else:
         line_count = len(headers) + 3
     parts.append(b"\r\n")
     head = b"".join(parts)
     _check_control_chars(head, line_count)
-    return head + body if body else head
+    return head
 
 
 def _check_request_line(method: str, path: str) -> None:
--- a/src/crocusward/upstream/_pool.py
+++ b/src/crocusward/upstream/_pool.py
@@ -13,7 +13,7 @@
     HttpConnection,
     MatchRequest,
 )
-from ._encode import encode_request
+from ._encode import encode_head
 from ._headers import parse_digits
 from ._memory import AnswerMemoryBudget
 from ._read_pacer import ReadPacer
@@ -110,7 +110,7 @@
         method: str,
         path: str,
         headers: Sequence[tuple[bytes, bytes]] = (),
-        body: bytes = b"",
+        body: bytes | bytearray = b"",
         *,
         timeout_s: float,
         limit_bytes: int,
@@ -152,7 +152,7 @@
             ExchangeLostError: Bytes were written, but no complete answer arrived.
         """
         endpoint = self._get_endpoint(address, port)
-        data = encode_request(method, path, host or endpoint.host, headers, body)
+        head = encode_head(method, path, host or endpoint.host, headers, len(body))
         conn = self._take_idle(endpoint, max_idle_s, request_id)
         if conn is None:
             started_s = self._timer.now()
@@ -165,7 +165,8 @@
             if before_write is not None:
                 before_write()
             answer = await conn.exchange(
-                data,
+                head,
+                body,
                 is_head_request=method == "HEAD",
                 timeout_s=timeout_s,
                 limit_bytes=limit_bytes,
