--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -120,7 +120,8 @@
         self.assertEqual({item.status for item in asked}, {503})
         self.assertEqual(len(fleet.promises.crashes), before)
         watch = next(iter(fleet.hosts.values())).crash_watch
-        (digest,) = watch.registry.records
+        # A request that ran beside it may have a record whose crashes were cleared.
+        (digest,) = filter(watch.registry.count, watch.registry.records)
         self.assertEqual(self.release(fleet, watch, digest.hex()), 1)
         fleet.network.advance(1.0)
         keys = fleet.store.rows("crocusward-hosts")
@@ -139,7 +140,7 @@
         fleet.deadly.clear()
         fleet.network.advance(2.0)
         watch = next(iter(fleet.hosts.values())).crash_watch
-        (digest,) = watch.registry.records
+        (digest,) = filter(watch.registry.count, watch.registry.records)
         self.assertEqual(self.release(fleet, watch, digest.hex()[:8]), 1)
         fleet.network.advance(3.0)
         asked = [fleet.ask(DEADLY, name) for name in fleet.hosts]
