Let a server leave before it ends, whatever the load, in its test

test_last_answer_of_a_leaving_server_is_whole set the entry 5 ms after the request and the server ended its answer 10 ms after it, two timers that began at different moments. The entry is now set right after the server has the request, whose timer began earlier.

--- a/tests/test_crash_moments.py
+++ b/tests/test_crash_moments.py
@@ -139,7 +139,8 @@
             entry = backend("b0", port=server.port, leaving=True)
             client = await relay.client()
             client.send("GET", "/look/x", id="q1")
-            await asyncio.sleep(0.005)
+            while not server.runs:  # it ends some milliseconds later
+                await asyncio.sleep(0.001)
             relay.directory.set_backend("b0", entry)
             self.assertEqual((await client.raw.read()).status, 200)
 
