Watch callers that are not read only while there are any

Servers saw: nothing.

Cause: read, not shown: since each of the four listeners of a host woke ten times a second to look for callers that have left, which over 146 hosts is 5,840 wake-ups a second.

Change: a connection that is no longer read is watched from that moment on, and no timer runs while there is none.

--- a/src/crocusward/relay/_caller.py
+++ b/src/crocusward/relay/_caller.py
@@ -71,6 +71,8 @@
         on_linger: Called with the connection when its lingering close begins.
         on_linger_end: Called with the connection and the reason if it is closed before
             its caller does so.
+        on_unread: Called with the connection when it has so many requests that no
+            further ones are read.
 
     Attributes:
         last_id: Id of the last request that was answered.
@@ -88,6 +90,7 @@
         "_on_close",
         "_on_linger",
         "_on_linger_end",
+        "_on_unread",
         "_linger",
         "_transport",
         "_parser",
@@ -116,6 +119,7 @@
         on_close: Callable[["CallerConnection"], object],
         on_linger: Callable[["CallerConnection"], object],
         on_linger_end: Callable[["CallerConnection", LingerEnd], object],
+        on_unread: Callable[["CallerConnection"], object],
     ) -> None:
         self.last_id = b""
         self._handler = handler
@@ -126,6 +130,7 @@
         self._on_close = on_close
         self._on_linger = on_linger
         self._on_linger_end = on_linger_end
+        self._on_unread = on_unread
         self._linger: LingeringClose | None = None
         self._transport: asyncio.Transport | None = None
         self._parser = RequestParser(self)
@@ -357,6 +362,7 @@
         self._pending.append(item)
         if self.has_unread_pipeline and self._transport is not None:
             self._transport.pause_reading()
+            self._on_unread(self)
         length = find_header(req.headers, b"content-length")
         if length is not None and int(length) > self._handler.limits.body_bytes:
             self._reject_current(make_refusal(413, "the body is too large", close=True))
--- a/src/crocusward/relay/_listener.py
+++ b/src/crocusward/relay/_listener.py
@@ -46,7 +46,9 @@
         "_timer",
         "_buffer",
         "_server",
-        "_checks",
+        "_timeout_check",
+        "_peer_check",
+        "_watched",
         "_opening",
     )
 
@@ -68,7 +70,9 @@
         self._timer = timer
         self._buffer = memoryview(bytearray(READ_BUFFER_BYTES))
         self._server: asyncio.Server | None = None
-        self._checks: list[Subscription] = []
+        self._timeout_check: Subscription | None = None
+        self._peer_check: Subscription | None = None
+        self._watched: set[CallerConnection] = set()  # which are not read
 
     async def start(self, address: str, port: int) -> None:
         """Bind the address and start to accept connections.
@@ -84,10 +88,9 @@
             backlog=MAX_LISTEN_BACKLOG,
             reuse_address=True,
         )
-        self._checks = [
-            self._timer.every(TIMEOUT_CHECK_PERIOD_S, self._check_timeouts),
-            self._timer.every(PEER_CHECK_PERIOD_S, self._check_peers),
-        ]
+        self._timeout_check = self._timer.every(
+            TIMEOUT_CHECK_PERIOD_S, self._check_timeouts
+        )
 
     def _make_connection(self) -> CallerConnection:
         return CallerConnection(
@@ -99,6 +102,7 @@
             self._on_close,
             self._on_linger,
             self._on_linger_end,
+            self._watch_peer,
         )
 
     def _on_open(self, conn: CallerConnection) -> None:
@@ -137,9 +141,25 @@
         for conn in list(self.connections):
             conn.check_timeouts(now_s)
 
+    def _watch_peer(self, conn: CallerConnection) -> None:
+        self._watched.add(conn)
+        if self._peer_check is None:
+            self._schedule_peer_check()
+
+    def _schedule_peer_check(self) -> None:
+        self._peer_check = self._timer.call_later(
+            PEER_CHECK_PERIOD_S, self._check_peers
+        )
+
     def _check_peers(self) -> None:
-        for conn in [c for c in self.connections if c.has_unread_pipeline]:
-            conn.check_peer()
+        self._peer_check = None
+        for conn in list(self._watched):
+            if conn in self.connections and conn.has_unread_pipeline:
+                conn.check_peer()
+            else:
+                self._watched.discard(conn)
+        if self._watched:
+            self._schedule_peer_check()
 
     @property
     def port(self) -> int:
@@ -201,8 +221,9 @@
         if self._server is not None:
             self._server.close()
             self._server = None
-        for check in self._checks:
-            check.cancel()
+        for check in (self._timeout_check, self._peer_check):
+            if check is not None:
+                check.cancel()
         for task in self._opening:
             task.cancel()
         for conn in list(self.connections):
