--- a/src/crocusward/upstream/_connection.py
+++ b/src/crocusward/upstream/_connection.py
@@ -263,7 +263,7 @@
     async def exchange(
         self,
         head: bytes,
-        body: bytes | bytearray,
+        body: bytes | bytearray = b"",
         *,
         is_head_request: bool,
         timeout_s: float,
